--- /dev/null
+++ b/crates/alderstile-drill/src/main.rs
@@ -0,0 +1,52 @@
+//! Reads batches from standard input and answers each on standard output until the input ends.
+
+use std::io::{self, Read, Write};
+use std::process::ExitCode;
+
+use alderstile_drill::host::{Host, HostError};
+use alderstile_drill::wire::{self, Header};
+use tracing::{error, info};
+use tracing_subscriber::EnvFilter;
+
+fn main() -> ExitCode {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).with_ansi(false).init();
+    match run(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(mut input: impl Read, mut output: impl Write) -> Result<(), HostError> {
+    let mut host = Host::default();
+    let mut body = Vec::new();
+    let mut batches = 0u64;
+    while let Some(head) = read_header(&mut input)? {
+        let header = Header::parse(&head)?;
+        body.clear();
+        // Read piece by piece: the stated length alone must not make us allocate.
+        let got = input.by_ref().take(header.body_len()).read_to_end(&mut body)?;
+        if (got as u64) < header.body_len() {
+            return Err(HostError::CutOff { batch: header.batch, offset: wire::HEADER_LEN + got });
+        }
+        output.write_all(host.batch(&header, &body)?)?;
+        output.flush()?;
+        batches += 1;
+    }
+    info!(batches, "end of input");
+    Ok(())
+}
+
+/// The bytes of the next header, or none at the end of input.
+fn read_header(input: &mut impl Read) -> Result<Option<[u8; wire::HEADER_LEN]>, HostError> {
+    let mut head = Vec::with_capacity(wire::HEADER_LEN);
+    input.by_ref().take(wire::HEADER_LEN as u64).read_to_end(&mut head)?;
+    match <[u8; wire::HEADER_LEN]>::try_from(head.as_slice()) {
+        Ok(head) => Ok(Some(head)),
+        Err(_) if head.is_empty() => Ok(None),
+        Err(_) => Err(HostError::HeaderCutOff { got: head.len() }),
+    }
+}
--- /dev/null
+++ b/crates/alderstile-drill/src/settings.rs
@@ -0,0 +1,167 @@
+//! The settings of an instance: lines of `path=value`. Keys that are not needed are ignored.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use alderstile::interface::*;
+use thiserror::Error;
+
+/// What can be wrong with settings.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum SettingsError {
+    /// A key that the decisions need is not there.
+    #[error("settings: the key {0} is missing")]
+    Missing(String),
+    /// A value cannot be read or is out of range.
+    #[error("settings: the key {key} has the value {value:?}, which is not {wanted}")]
+    Bad {
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// What was expected.
+        wanted: &'static str,
+    },
+}
+
+struct Keys<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Keys<'a> {
+    fn new(text: &'a str) -> Self {
+        Keys(text.lines().filter_map(|line| line.split_once('=')).collect())
+    }
+
+    fn text(&self, key: &str) -> Result<&'a str, SettingsError> {
+        self.0.get(key).copied().ok_or_else(|| SettingsError::Missing(key.to_owned()))
+    }
+
+    fn read<T: FromStr>(&self, key: &str, wanted: &'static str) -> Result<T, SettingsError> {
+        let value = self.text(key)?;
+        value.trim().parse().map_err(|_| bad(key, value, wanted))
+    }
+
+    fn micros(&self, key: &str) -> Result<Micros, SettingsError> {
+        self.read(key, "a whole number of microseconds").map(Micros)
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, SettingsError> {
+        self.read(key, "true or false")
+    }
+
+    /// A finite number that is not negative.
+    fn number(&self, key: &str) -> Result<f64, SettingsError> {
+        let value: f64 = self.read(key, "a number")?;
+        if value.is_finite() && value >= 0.0 {
+            return Ok(value);
+        }
+        Err(bad(key, self.text(key)?, "a finite number of zero or more"))
+    }
+
+    /// One of the words named.
+    fn word<T: Copy>(
+        &self,
+        key: &str,
+        words: &[(&str, T)],
+        wanted: &'static str,
+    ) -> Result<T, SettingsError> {
+        let value = self.text(key)?;
+        let found = words.iter().find(|(word, _)| *word == value.trim());
+        found.map(|(_, meaning)| *meaning).ok_or_else(|| bad(key, value, wanted))
+    }
+
+    /// A list of plain values; a key that is absent is an empty list.
+    fn list(&self, key: &str) -> Vec<&'a str> {
+        let value = self.0.get(key).copied().unwrap_or_default();
+        value.split(',').map(str::trim).filter(|item| !item.is_empty()).collect()
+    }
+}
+
+fn bad(key: &str, value: &str, wanted: &'static str) -> SettingsError {
+    SettingsError::Bad { key: key.to_owned(), value: value.to_owned(), wanted }
+}
+
+/// Reads the settings.
+pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+    let keys = Keys::new(text);
+    let balancers = keys.read("balancers", "a whole number")?;
+    if balancers == 0 {
+        return Err(bad("balancers", "0", "one or more"));
+    }
+    Ok(Settings {
+        balancers,
+        zone: keys.read("my_zone", "a zone's number")?,
+        classes: classes(&keys)?,
+        must_ask: keys.word(
+            "discovery",
+            &[("automatic", false), ("subscribe", true)],
+            "automatic or subscribe",
+        )?,
+        must_ask_in: keys.micros("obligations.must_ask_in").or_else(absent(Micros(0)))?,
+        max_attempts: keys.read("allowed.max_attempts", "a whole number")?,
+        retry_after: keys.flag("allowed.retry_after")?,
+        max_retry_after: keys.micros("allowed.max_retry_after").or_else(absent(Micros(0)))?,
+        probes: keys.flag("allowed.probes")?,
+        may_tell: keys.flag("allowed.may_tell")?,
+        weights: keys.word(
+            "weights",
+            &[
+                ("silent", Weights::None),
+                ("nominal", Weights::Size),
+                ("rough", Weights::Size),
+                ("live", Weights::Live),
+            ],
+            "silent, nominal, rough or live",
+        )?,
+        groups: keys.flag("extra.groups").or_else(absent(false))?,
+        report_fields: (keys.list("load_info.columns").iter())
+            .map(|field| match *field {
+                "x0" => ReportField::LoadRatio,
+                "x1" => ReportField::PiledSeconds,
+                _ => ReportField::Other,
+            })
+            .collect(),
+        cold: keys.micros("obligations.cold")?,
+        cold_from: keys.number("obligations.cold_from")?,
+        fall_multiple: keys.number("obligations.fall_multiple")?,
+        overload_for: keys.micros("obligations.overload_for")?,
+    })
+}
+
+/// Turns a missing key into a value, and leaves a bad one bad.
+fn absent<T>(value: T) -> impl FnOnce(SettingsError) -> Result<T, SettingsError> {
+    |error| match error {
+        SettingsError::Missing(_) => Ok(value),
+        bad => Err(bad),
+    }
+}
+
+fn classes(keys: &Keys) -> Result<Vec<ClassSettings>, SettingsError> {
+    let count: u16 = keys.read("classes.count", "a whole number")?;
+    let message_aims = keys.list("extra.message_aim");
+    let mut classes = Vec::new();
+    for i in 0..count {
+        let key = |field: &str| format!("classes.{i}.{field}");
+        let group_words = [("all", DedupGroup::All), ("zone", DedupGroup::Zone), ("cell", DedupGroup::Cell)];
+        let group = || keys.word(&key("group"), &group_words, "all, zone or cell");
+        let semantics = match keys.text(&key("semantics"))? {
+            "retryable" => Semantics::Retryable,
+            "dedup" => Semantics::Dedup(group()?),
+            "fragile" => Semantics::Fragile,
+            other => return Err(bad(&key("semantics"), other, "retryable, dedup or fragile")),
+        };
+        let message_aim = match message_aims.get(usize::from(i)) {
+            Some(value) => match value.parse::<f64>() {
+                Ok(us) if us.is_finite() && us >= 0.0 => Some(Micros(us as u64)),
+                _ => return Err(bad("extra.message_aim", value, "microseconds for each class")),
+            },
+            None => None,
+        };
+        classes.push(ClassSettings {
+            aim: keys.micros(&key("aim"))?,
+            semantics,
+            dedup_window: keys.micros(&key("window")).or_else(absent(Micros(0)))?,
+            message_aim,
+        });
+    }
+    Ok(classes)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,314 @@
+//! The words in which a host program and the decisions speak: settings, events and actions.
+//!
+//! Nothing here decides anything, and nothing here knows how the words travel.
+
+use std::ops::{Add, Sub};
+
+/// A point in time or a span of it, in whole microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(ms: u64) -> Self {
+        Micros(ms * 1_000)
+    }
+
+    /// The span in seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// The span scaled by `factor`, which must not be negative.
+    pub fn scale(self, factor: f64) -> Self {
+        Micros((self.0 as f64 * factor) as u64)
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+/// Saturates at zero: a span that would be negative is none.
+impl Sub for Micros {
+    type Output = Micros;
+    fn sub(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
+}
+
+/// A request, and the connection that it becomes. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// A server. A process that restarts keeps it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServerId(pub u64);
+
+/// A group of connections that share work on each server that holds any of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GroupId(pub u64);
+
+/// What the host program may choose for a timer; it comes back with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerToken(pub u64);
+
+/// Whether a request may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Semantics {
+    /// Repeating it does no harm.
+    Retryable,
+    /// The servers of one group drop repeats of it for a time.
+    Dedup(DedupGroup),
+    /// It may run once only.
+    Fragile,
+}
+
+/// The servers that drop one another's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupGroup {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// What a class of requests asks for.
+#[derive(Clone, Debug)]
+pub struct ClassSettings {
+    /// A set-up within this time has its full worth.
+    pub aim: Micros,
+    /// Whether it may be repeated.
+    pub semantics: Semantics,
+    /// How long repeats are dropped, from the sending of the first attempt that may have run.
+    pub dedup_window: Micros,
+    /// The time within which a message on an open connection is wanted, where stated.
+    pub message_aim: Option<Micros>,
+}
+
+/// What the weight of a listed server means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Nothing.
+    None,
+    /// Its size, to a fair degree.
+    Size,
+    /// Its size lowered by what it holds, some time ago: the same late figure for all nodes.
+    Live,
+}
+
+/// One figure of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Load asked over what the server can do.
+    LoadRatio,
+    /// Seconds of work piled up.
+    PiledSeconds,
+    /// Any other figure.
+    Other,
+}
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How many nodes share the servers, this one included.
+    pub balancers: u32,
+    /// The zone of this node.
+    pub zone: u16,
+    /// The classes of requests, by their number.
+    pub classes: Vec<ClassSettings>,
+    /// The server list must be asked for; otherwise changes are pushed.
+    pub must_ask: bool,
+    /// Without a subscription the list must be asked for at least this often.
+    pub must_ask_in: Micros,
+    /// Attempts allowed for a request.
+    pub max_attempts: u32,
+    /// Final refusals may carry a time after which to come back.
+    pub retry_after: bool,
+    /// The longest such time that a client honours.
+    pub max_retry_after: Micros,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// Peers may be sent messages.
+    pub may_tell: bool,
+    /// What the weight of a listed server means.
+    pub weights: Weights,
+    /// Connections of one group share work.
+    pub groups: bool,
+    /// The figures of a load report, in order.
+    pub report_fields: Vec<ReportField>,
+    /// A started server is warm after this at most.
+    pub cold: Micros,
+    /// A started server has at least this share of its capacity.
+    pub cold_from: f64,
+    /// A cold server that is sent this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long falls over.
+    pub overload_for: Micros,
+}
+
+/// What a server list says of one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerState {
+    /// It may be sent new work.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It is no more.
+    Gone,
+}
+
+/// A line of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerEntry {
+    /// The server.
+    pub id: ServerId,
+    /// Its zone.
+    pub zone: u16,
+    /// Its cell.
+    pub cell: u16,
+    /// Its state.
+    pub state: ServerState,
+    /// Its weight; [`Settings::weights`] tells the meaning.
+    pub weight: f64,
+    /// When it last started; none if long ago.
+    pub started: Option<Micros>,
+}
+
+/// Which list has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed lines only.
+    Delta,
+    /// All lines; a server that is missing is gone.
+    Full,
+    /// All lines as last held before this start; they may be stale.
+    Cached,
+    /// A call failed or the subscription broke; the list held goes on.
+    Failed,
+}
+
+/// How an attempt or a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// The server answered with an error.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time.
+    Timeout,
+    /// No connection could be made.
+    ConnectFailed,
+    /// The connection broke.
+    Reset,
+    /// Withdrawn, or the client left.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the attempt may have had an effect.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What a client asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// The request.
+    pub id: RequestId,
+    /// Its class.
+    pub class: u16,
+    /// Its group, where connections share work.
+    pub group: Option<GroupId>,
+    /// Its expected load in microseconds of work a second.
+    pub hint: Option<f64>,
+    /// The time after which the client gives up this try.
+    pub remaining: Micros,
+    /// What it is about; the same for all tries of one client.
+    pub key: Option<u64>,
+    /// Packets of a connection that some server already holds.
+    pub mid_flow: bool,
+}
+
+/// What has happened. Everything in one call happened at the call's time.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A server list.
+    List(ListKind, Vec<ServerEntry>),
+    /// A client's request: owed one final answer.
+    Request(Request),
+    /// A connection that was open already when this node started.
+    Open(Request, ServerId),
+    /// An attempt became a connection.
+    Established {
+        /// The request.
+        id: RequestId,
+        /// Time since the attempt was sent.
+        latency: Micros,
+    },
+    /// An attempt ended, or the connection that it had become.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// The server it was sent to.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// The request has its final answer; otherwise it is still owed.
+        closed: bool,
+        /// The server's load report, if one came along.
+        report: Vec<f64>,
+    },
+    /// The load of a connection now, in microseconds of work a second.
+    LoadTold(RequestId, f64),
+    /// Milliseconds that a message takes at a server now.
+    DelayTold(ServerId, f64),
+    /// The client has left; nothing is owed.
+    ClientGone(RequestId),
+    /// A timer is due.
+    Timer(TimerToken),
+    /// A probe's result.
+    Probed {
+        /// The server.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// Its load report, if one came along.
+        report: Vec<f64>,
+    },
+    /// A message of another node.
+    Peer(u32, Vec<u8>),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start the request's next attempt; no time-out means until the client gives up.
+    Send(RequestId, ServerId, Option<Micros>),
+    /// Final answer: declined, a further try does no harm; perhaps not before the time named.
+    Refuse(RequestId, Option<Micros>),
+    /// Final answer: failed, nothing promised.
+    Fail(RequestId),
+    /// End a connection politely; its client comes again.
+    Move(RequestId),
+    /// Wake me after this time with this token.
+    SetTimer(Micros, TimerToken),
+    /// Subscribe to the server list.
+    Watch,
+    /// Probe a server.
+    Probe(ServerId),
+    /// Send a message to all other nodes.
+    TellAll(Vec<u8>),
+    /// A line for people.
+    Log(String),
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,669 @@
+//! All decisions of a node; the words they use are in `src/interface.rs`.
+//!
+//! The ordinary path: a connection lands on the server lowest in this node's own record, and every second
+//! a server that stands above this node's mean for several periods sheds its excess. `docs/design.md` says
+//! where that comes from and when each exception acts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::interface::*;
+
+/// The design's period: loads are summed and compared this often.
+const PERIOD: Micros = Micros::from_millis(1_000);
+/// The design's bar: a server this far above the mean sheds.
+const BAR: f64 = 1.1;
+/// Periods above the bar before a server sheds: a load that swings by itself is back under it by then.
+const PERIODS_ABOVE: u32 = 3;
+/// The share of a server's connections that one period may move, rounded up.
+const MOVE_SHARE: f64 = 0.1;
+/// The same where the server's messages are late: those connections lose more by staying.
+const REACTIVE_SHARE: f64 = 0.5;
+/// The reactive trigger: messages take this share of the shortest message aim.
+const LATE_SHARE: f64 = 0.5;
+/// A told delay counts this long; notes come once a second while messages are late.
+const DELAY_FRESH: Micros = Micros::from_millis(1_600);
+/// What a period of late messages leaves of the speed that a server is believed to have.
+const SPEED_CUT: f64 = 0.6;
+/// The lowest believed speed: a server is never written off for good.
+const SPEED_FLOOR: f64 = 0.1;
+/// What a period without late messages gives back.
+const SPEED_GAIN: f64 = 0.04;
+/// Late servers above this share of the ready ones mean common trouble, which moving cannot cure.
+const COMMON_SHARE: f64 = 0.5;
+/// The first pause in sending to a server after a failed set-up; it doubles with each further one.
+const PAUSE_FIRST: Micros = Micros::from_millis(1_000);
+/// The longest pause, as a number of doublings.
+const PAUSE_DOUBLINGS: u32 = 4;
+/// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
+const PAUSED_SHARE: f64 = 0.35;
+/// The share of the aim that an attempt may take before another server is tried.
+const ATTEMPT_SHARE: f64 = 0.5;
+/// An attempt is not given up before this multiple of the usual set-up time.
+const SETUP_STRETCH: f64 = 4.0;
+/// Further attempts that each first attempt earns: in a storm, retries add no more than this to the load.
+const RETRY_EARN: f64 = 0.2;
+/// Further attempts that may be saved up.
+const RETRY_CAP: f64 = 10.0;
+/// The weight of the newest value in running means.
+const NEWEST: f64 = 0.1;
+/// The first wait before the list is asked for again; doubled after each failure.
+const ASK_AGAIN: Micros = Micros::from_millis(500);
+/// Loads above this are no loads: about a thousand cores' work.
+const LOAD_LIMIT: f64 = 1e9;
+
+/// Wakes the period.
+const TOKEN_PERIOD: TimerToken = TimerToken(0);
+/// Wakes the asking for the list.
+const TOKEN_ASK: TimerToken = TimerToken(1);
+
+/// A running mean that starts at its first value.
+#[derive(Clone, Copy, Default)]
+struct Mean(Option<f64>);
+
+impl Mean {
+    fn add(&mut self, value: f64) {
+        self.0 = Some(self.0.map_or(value, |mean| mean + NEWEST * (value - mean)));
+    }
+}
+
+/// What this node holds of one server.
+struct Server {
+    entry: ServerEntry,
+    /// When this node learnt of the present start, if it did after its own.
+    told_sum: f64,
+    untold: Vec<u32>,
+    groups: BTreeMap<GroupId, u32>,
+    conns: BTreeSet<RequestId>,
+    above: u32,
+    /// Believed speed, one unless messages were late.
+    speed: f64,
+    delay: Option<(f64, Micros)>,
+    failures: u32,
+    paused_until: Micros,
+    /// While cold: not before this is it sent anything.
+    next_send: Micros,
+    accepted: u32,
+}
+
+impl Server {
+    fn new(entry: ServerEntry, classes: usize) -> Self {
+        Server {
+            entry,
+            told_sum: 0.0,
+            untold: vec![0; classes],
+            groups: BTreeMap::new(),
+            conns: BTreeSet::new(),
+            above: 0,
+            speed: 1.0,
+            delay: None,
+            failures: 0,
+            paused_until: Micros(0),
+            next_send: Micros(0),
+            accepted: 0,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.state == ServerState::Ready
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Accepted, no attempt out.
+    Held,
+    /// An attempt is out at this server.
+    Trying(usize),
+    /// A connection at this server.
+    Open(usize),
+    /// A connection that was asked to move.
+    Leaving(usize),
+}
+
+struct Conn {
+    request: Request,
+    deadline: Micros,
+    stage: Stage,
+    attempts: u32,
+    tried: Vec<usize>,
+    /// The first attempt that may have run: its server and when it was sent.
+    ran: Option<(usize, Micros)>,
+    sent: Micros,
+    /// The load last told.
+    told: Option<f64>,
+}
+
+/// The decisions of one node.
+pub struct Policy {
+    set: Settings,
+    rng: Pcg64Mcg,
+    servers: Vec<Server>,
+    by_id: BTreeMap<ServerId, usize>,
+    conns: BTreeMap<RequestId, Conn>,
+    /// The usual load of a connection, by class and over all.
+    class_load: Vec<Mean>,
+    usual_load: Mean,
+    /// The usual time of a set-up, in microseconds.
+    setup: Mean,
+    /// Connections that a warm server takes from this node in a second.
+    intake: Mean,
+    retry_tokens: f64,
+    ask_failures: u32,
+    late_at: Micros,
+}
+
+impl Policy {
+    /// A node that has just started and holds nothing.
+    pub fn new(settings: Settings, seed: u64, _now: Micros) -> Self {
+        let classes = settings.classes.len();
+        let shortest = settings.classes.iter().map(|c| c.message_aim.unwrap_or(c.aim)).min();
+        Policy {
+            late_at: shortest.unwrap_or(Micros(0)).scale(LATE_SHARE),
+            set: settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            servers: Vec::new(),
+            by_id: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            class_load: vec![Mean::default(); classes],
+            usual_load: Mean::default(),
+            setup: Mean::default(),
+            intake: Mean::default(),
+            retry_tokens: RETRY_CAP,
+            ask_failures: 0,
+        }
+    }
+
+    /// Timers and questions with which a node begins.
+    pub fn start(&mut self, actions: &mut Vec<Action>) {
+        let phase = PERIOD.scale(self.rng.random::<f64>());
+        actions.push(Action::SetTimer(phase, TOKEN_PERIOD));
+        if self.set.must_ask {
+            // Nodes that start together must not ask together.
+            let jitter = ASK_AGAIN.scale(self.rng.random::<f64>());
+            actions.push(Action::SetTimer(jitter, TOKEN_ASK));
+        }
+    }
+
+    /// Takes in one event and adds what is to be done about it. Events that name what is unknown or has
+    /// ended are ignored.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List(kind, entries) => self.list(now, kind, entries, actions),
+            Event::Request(request) => self.request(now, request, actions),
+            Event::Open(request, server) => self.open(now, request, server),
+            Event::Established { id, latency } => self.established(id, latency),
+            Event::Ended { id, server, outcome, closed, .. } => {
+                self.ended(now, id, server, outcome, closed, actions)
+            }
+            Event::LoadTold(id, load) => self.load_told(id, load),
+            Event::DelayTold(server, ms) => {
+                if let Some(&s) = self.by_id.get(&server)
+                    && ms.is_finite()
+                    && ms >= 0.0
+                {
+                    self.servers[s].delay = Some((ms * 1_000.0, now));
+                }
+            }
+            Event::ClientGone(id) => {
+                if let Some(conn) = self.conns.remove(&id) {
+                    self.unrecord(&conn);
+                }
+            }
+            Event::Timer(TOKEN_PERIOD) => self.period(now, actions),
+            Event::Timer(TOKEN_ASK) => actions.push(Action::Watch),
+            Event::Timer(_) | Event::Probed { .. } | Event::Peer(..) => {}
+        }
+    }
+
+    // ---- the server list ----
+
+    fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            // A subscription that broke is asked for again, later each time but within the list's own limit.
+            let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
+            let wait = wait.scale(0.5 + self.rng.random::<f64>()).min(self.set.must_ask_in.scale(0.5));
+            self.ask_failures += 1;
+            out.push(Action::SetTimer(wait, TOKEN_ASK));
+            return;
+        }
+        if kind != ListKind::Cached {
+            self.ask_failures = 0;
+        }
+        if kind != ListKind::Delta {
+            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
+            for server in self.servers.iter_mut().filter(|s| !named.contains(&s.entry.id)) {
+                server.entry.state = ServerState::Gone;
+            }
+        }
+        for entry in entries {
+            self.listed(now, entry);
+        }
+    }
+
+    fn listed(&mut self, now: Micros, entry: ServerEntry) {
+        let s = match self.by_id.get(&entry.id) {
+            Some(&s) => s,
+            None => {
+                self.by_id.insert(entry.id, self.servers.len());
+                self.servers.push(Server::new(entry, self.set.classes.len()));
+                self.servers.len() - 1
+            }
+        };
+        let fresh = self.servers[s].entry.started != entry.started || self.servers[s].next_send == Micros(0);
+        self.servers[s].entry = entry;
+        if fresh {
+            // A process that starts anew has no history; where in its first gap this node's share begins is
+            // left to chance, or all nodes would send their first connection at once.
+            let gap = self.cold_gap(now, s).scale(self.rng.random::<f64>());
+            let server = &mut self.servers[s];
+            (server.speed, server.delay, server.failures, server.above) = (1.0, None, 0, 0);
+            server.paused_until = Micros(0);
+            server.next_send = now + gap;
+        }
+    }
+
+    /// How far a server has warmed up, from nothing to one.
+    fn warmth(&self, now: Micros, s: usize) -> f64 {
+        match self.servers[s].entry.started {
+            Some(started) if self.set.cold > Micros(0) => {
+                ((now - started).as_secs_f64() / self.set.cold.as_secs_f64()).min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// The time between two sends of this node to a cold server. What warm servers take of this node is at
+    /// most what they can, so the same rate times the present share and the allowed multiple is this node's
+    /// share of the budget, and spacing keeps it in every window.
+    fn cold_gap(&self, now: Micros, s: usize) -> Micros {
+        let warmth = self.warmth(now, s);
+        if warmth >= 1.0 {
+            return Micros(0);
+        }
+        let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
+        let rate = self.intake.0.unwrap_or(0.0) * share * self.set.fall_multiple;
+        if rate > 0.0 { Micros((1e6 / rate).min(1e9) as u64) } else { self.set.cold }
+    }
+
+    // ---- the record ----
+
+    /// The load that this node has on a server: told loads, the usual load of its class where none was told,
+    /// and the shared work of each group held, which is taken to be a usual connection's.
+    fn record(&self, s: usize) -> f64 {
+        let server = &self.servers[s];
+        let usual = self.usual_load.0.unwrap_or(1.0);
+        let untold: f64 = (server.untold.iter().zip(&self.class_load))
+            .map(|(&n, mean)| f64::from(n) * mean.0.unwrap_or(usual))
+            .sum();
+        server.told_sum + untold + usual * server.groups.len() as f64
+    }
+
+    /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
+    fn power(&self, s: usize) -> f64 {
+        let server = &self.servers[s];
+        let size = match self.set.weights {
+            Weights::Size if server.entry.weight > 0.0 => server.entry.weight,
+            _ => 1.0,
+        };
+        size * server.speed
+    }
+
+    fn load_of(&self, conn: &Conn) -> f64 {
+        let usual = || self.class_load.get(conn.request.class as usize).and_then(|mean| mean.0);
+        conn.told.or_else(usual).or(self.usual_load.0).unwrap_or(1.0)
+    }
+
+    /// The mean load for each unit of power over ready servers that are warm.
+    fn mean(&self, now: Micros) -> f64 {
+        let warm = |s: &usize| self.servers[*s].ready() && self.warmth(now, *s) >= 1.0;
+        let (load, power) = (0..self.servers.len())
+            .filter(warm)
+            .fold((0.0, 0.0), |(load, power), s| (load + self.record(s), power + self.power(s)));
+        if power > 0.0 { load / power } else { 0.0 }
+    }
+
+    fn enter(&mut self, s: usize, conn: &Conn) {
+        let server = &mut self.servers[s];
+        server.conns.insert(conn.request.id);
+        match conn.told {
+            Some(load) => server.told_sum += load,
+            None => {
+                if let Some(n) = server.untold.get_mut(conn.request.class as usize) {
+                    *n += 1;
+                }
+            }
+        }
+        if let Some(group) = conn.request.group {
+            *server.groups.entry(group).or_insert(0) += 1;
+        }
+    }
+
+    fn unrecord(&mut self, conn: &Conn) {
+        let (Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s)) = conn.stage else { return };
+        let server = &mut self.servers[s];
+        server.conns.remove(&conn.request.id);
+        match conn.told {
+            Some(load) => server.told_sum = (server.told_sum - load).max(0.0),
+            None => {
+                if let Some(n) = server.untold.get_mut(conn.request.class as usize) {
+                    *n = n.saturating_sub(1);
+                }
+            }
+        }
+        if server.conns.is_empty() {
+            server.told_sum = 0.0;
+        }
+        if let Some(group) = conn.request.group
+            && let Some(n) = server.groups.get_mut(&group)
+        {
+            *n -= 1;
+            if *n == 0 {
+                server.groups.remove(&group);
+            }
+        }
+    }
+
+    fn load_told(&mut self, id: RequestId, load: f64) {
+        // A load that is no number, negative or absurd would poison every sum that it enters.
+        if !(0.0..=LOAD_LIMIT).contains(&load) {
+            return;
+        }
+        let Some(mut conn) = self.conns.remove(&id) else { return };
+        if conn.told.is_none() {
+            self.usual_load.add(load);
+            if let Some(mean) = self.class_load.get_mut(conn.request.class as usize) {
+                mean.add(load);
+            }
+        }
+        let (Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s)) = conn.stage else { return };
+        self.unrecord(&conn);
+        conn.told = Some(load);
+        self.enter(s, &conn);
+        self.conns.insert(id, conn);
+    }
+
+    fn open(&mut self, now: Micros, request: Request, server: ServerId) {
+        let Some(&s) = self.by_id.get(&server) else { return };
+        let conn = Conn {
+            request,
+            deadline: now + request.remaining,
+            stage: Stage::Open(s),
+            attempts: 1,
+            tried: vec![s],
+            ran: Some((s, now)),
+            sent: now,
+            told: request.hint,
+        };
+        self.enter(s, &conn);
+        self.conns.insert(request.id, conn);
+    }
+
+    // ---- requests ----
+
+    fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
+        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
+        let conn = Conn {
+            request,
+            deadline: now + request.remaining,
+            stage: Stage::Held,
+            attempts: 0,
+            tried: Vec::new(),
+            ran: None,
+            sent: now,
+            told: request.hint.filter(|load| (0.0..=LOAD_LIMIT).contains(load)),
+        };
+        self.attempt(now, conn, out);
+    }
+
+    /// Sends a request to a server, or answers it at once where that cannot be.
+    fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
+        let id = conn.request.id;
+        let more = conn.attempts < self.set.max_attempts && now < conn.deadline;
+        let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
+            return self.give_up(&conn, out);
+        };
+        conn.stage = Stage::Trying(s);
+        conn.attempts += 1;
+        conn.sent = now;
+        conn.tried.push(s);
+        let gap = self.cold_gap(now, s);
+        self.servers[s].next_send = now + gap;
+        self.enter(s, &conn);
+        out.push(Action::Send(id, self.servers[s].entry.id, self.time_out(now, &conn)));
+        self.conns.insert(id, conn);
+    }
+
+    /// The time after which another server is tried: only where an attempt, the time and the budget for
+    /// retries are left. It stretches with the usual set-up, or a slow shared store would turn every set-up
+    /// into several.
+    fn time_out(&self, now: Micros, conn: &Conn) -> Option<Micros> {
+        if conn.attempts >= self.set.max_attempts || self.retry_tokens < 1.0 {
+            return None;
+        }
+        let aim = self.set.classes.get(conn.request.class as usize)?.aim;
+        let usual = Micros((self.setup.0.unwrap_or(0.0) * SETUP_STRETCH) as u64);
+        let cap = aim.scale(ATTEMPT_SHARE).max(usual);
+        (now + cap.scale(2.0) <= conn.deadline).then_some(cap)
+    }
+
+    /// The final answer for a request that is given up: at once, so that the client can come again.
+    fn give_up(&mut self, conn: &Conn, out: &mut Vec<Action>) {
+        let class = self.set.classes.get(conn.request.class as usize);
+        let harmless = match class.map(|c| c.semantics) {
+            Some(Semantics::Retryable | Semantics::Dedup(DedupGroup::All)) => true,
+            _ => conn.ran.is_none(),
+        };
+        if !harmless {
+            return out.push(Action::Fail(conn.request.id));
+        }
+        // Spread out, or those turned away together would come back together.
+        let aim = class.map_or(PERIOD, |c| c.aim);
+        let wait = aim.scale(0.5 + self.rng.random::<f64>()).min(self.set.max_retry_after);
+        out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
+    }
+
+    /// Where a connection lands: lowest in the own record, chance among equals.
+    fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
+        let usable: Vec<usize> = (0..self.servers.len()).filter(|&s| self.usable(now, s, conn)).collect();
+        let ready = self.servers.iter().filter(|s| s.ready()).count();
+        let paused = self.servers.iter().filter(|s| s.ready() && now < s.paused_until).count();
+        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready as f64;
+        let healthy = |s: &usize| !heed_pauses || now >= self.servers[*s].paused_until;
+        let fresh = |s: &usize| !conn.tried.contains(s);
+        let mut from: Vec<usize> = usable.iter().copied().filter(|s| healthy(s) && fresh(s)).collect();
+        if from.is_empty() {
+            from = usable.iter().copied().filter(|s| fresh(s)).collect();
+        }
+        if from.is_empty() {
+            from = usable;
+        }
+        let mean = self.mean(now);
+        let mut best = (f64::INFINITY, Vec::new());
+        for s in from {
+            let after = self.landing(now, s, mean, conn);
+            if after < best.0 {
+                best = (after, vec![s]);
+            } else if after == best.0 {
+                best.1.push(s);
+            }
+        }
+        let ties = best.1;
+        (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
+    }
+
+    /// What the record of a server counts for a landing. One that warms up counts at the others' mean at
+    /// first and at its own load at last; a group that it doesn't hold yet is work that it would take on.
+    fn landing(&self, now: Micros, s: usize, mean: f64, conn: &Conn) -> f64 {
+        let usual = self.usual_load.0.unwrap_or(1.0);
+        let new_group = conn.request.group.is_some_and(|g| !self.servers[s].groups.contains_key(&g));
+        let group = if new_group { usual } else { 0.0 };
+        (self.record(s) + group) / self.power(s) + mean * (1.0 - self.warmth(now, s))
+    }
+
+    /// Whether the rules let this request go to this server now.
+    fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
+        let server = &self.servers[s];
+        if !server.ready() || (self.warmth(now, s) < 1.0 && now < server.next_send) {
+            return false;
+        }
+        let Some(class) = self.set.classes.get(conn.request.class as usize) else { return true };
+        let Some((first, sent)) = conn.ran else { return true };
+        let first = &self.servers[first].entry;
+        match class.semantics {
+            Semantics::Retryable => true,
+            Semantics::Fragile => false,
+            Semantics::Dedup(group) => {
+                let same = match group {
+                    DedupGroup::All => true,
+                    DedupGroup::Zone => first.zone == server.entry.zone,
+                    DedupGroup::Cell => first.cell == server.entry.cell,
+                };
+                same && now < sent + class.dedup_window
+            }
+        }
+    }
+
+    fn established(&mut self, id: RequestId, latency: Micros) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let Stage::Trying(s) = conn.stage else { return };
+        conn.stage = Stage::Open(s);
+        conn.ran.get_or_insert((s, conn.sent));
+        let server = &mut self.servers[s];
+        server.failures = 0;
+        server.accepted += 1;
+        self.setup.add(latency.0 as f64);
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut conn) = self.conns.remove(&id) else { return };
+        self.unrecord(&conn);
+        if let Some(&s) = self.by_id.get(&server) {
+            self.judge(now, s, &conn, outcome);
+            if outcome.may_have_run() {
+                conn.ran.get_or_insert((s, conn.sent));
+            }
+        }
+        if closed || matches!(conn.stage, Stage::Leaving(_)) {
+            return;
+        }
+        conn.stage = Stage::Held;
+        if self.retry_tokens < 1.0 {
+            return self.give_up(&conn, out);
+        }
+        self.retry_tokens -= 1.0;
+        self.attempt(now, conn, out);
+    }
+
+    /// Guards against the server that fails fast, keeps a low record and so draws all new work: each failure
+    /// in a row doubles a pause in sending to it, a success ends the count.
+    fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome) {
+        let failed = match outcome {
+            Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed => true,
+            Outcome::Reset => true,
+            Outcome::Ok | Outcome::Cancelled | Outcome::Moot => false,
+        };
+        if !failed || matches!(conn.stage, Stage::Leaving(_)) {
+            return;
+        }
+        let server = &mut self.servers[s];
+        let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
+        server.failures += 1;
+        server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
+    }
+
+    // ---- shedding ----
+
+    fn period(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
+        let warm: Vec<usize> = (0..self.servers.len())
+            .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
+            .collect();
+        let accepted: u32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
+        if !warm.is_empty() {
+            self.intake.add(f64::from(accepted) / warm.len() as f64 / PERIOD.as_secs_f64());
+        }
+        self.servers.iter_mut().for_each(|s| s.accepted = 0);
+        let late = self.late_servers(now);
+        for s in 0..self.servers.len() {
+            let server = &mut self.servers[s];
+            if late.contains(&s) {
+                server.speed = (server.speed * SPEED_CUT).max(SPEED_FLOOR);
+            } else {
+                server.speed = (server.speed + SPEED_GAIN).min(1.0);
+            }
+        }
+        let mean = self.mean(now);
+        for s in 0..self.servers.len() {
+            if self.servers[s].ready() {
+                self.shed(s, mean, late.contains(&s), out);
+            }
+        }
+    }
+
+    /// The reactive trigger: ready servers whose messages are late now. Where most of them are, there is no
+    /// better place to move to and none counts.
+    fn late_servers(&self, now: Micros) -> BTreeSet<usize> {
+        let is_late = |s: &Server| {
+            s.delay.is_some_and(|(us, at)| us >= self.late_at.0 as f64 && now < at + DELAY_FRESH)
+        };
+        let ready = self.servers.iter().filter(|s| s.ready()).count();
+        let late: BTreeSet<usize> = (0..self.servers.len())
+            .filter(|&s| self.servers[s].ready() && is_late(&self.servers[s]))
+            .collect();
+        if late.len() as f64 > COMMON_SHARE * ready as f64 { BTreeSet::new() } else { late }
+    }
+
+    /// Sheds the excess over the mean of a server that has been above the bar for long enough, or is late.
+    fn shed(&mut self, s: usize, mean: f64, late: bool, out: &mut Vec<Action>) {
+        let fair = mean * self.power(s);
+        let record = self.record(s);
+        let server = &mut self.servers[s];
+        server.above = if record > BAR * fair { server.above + 1 } else { 0 };
+        if server.above == 0 || (server.above < PERIODS_ABOVE && !late) {
+            return;
+        }
+        let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
+            .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
+            .filter(|(_, conn)| matches!(conn.stage, Stage::Open(_)))
+            .map(|(&id, conn)| (self.load_of(conn), id))
+            .collect();
+        let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
+        let mut excess = record - fair;
+        if excess <= lightest {
+            return;
+        }
+        let share = if late { REACTIVE_SHARE } else { MOVE_SHARE };
+        let limit = (open.len() as f64 * share).ceil() as usize;
+        for _ in 0..limit {
+            let Some(i) = self.closest(&open, excess) else { break };
+            let (load, id) = open.swap_remove(i);
+            if (excess - load).abs() >= excess.abs() {
+                break;
+            }
+            excess -= load;
+            if let Some(conn) = self.conns.get_mut(&id) {
+                conn.stage = Stage::Leaving(s);
+                out.push(Action::Move(id));
+            }
+        }
+    }
+
+    /// The connection whose load is closest to the excess; chance decides between equals.
+    fn closest(&mut self, open: &[(f64, RequestId)], excess: f64) -> Option<usize> {
+        let gap = |i: usize| (open[i].0 - excess).abs();
+        let best = (0..open.len()).map(gap).fold(f64::INFINITY, f64::min);
+        let ties: Vec<usize> = (0..open.len()).filter(|&i| gap(i) == best).collect();
+        (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
+    }
+}
