--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,8 @@
 const PAUSE_FIRST: Micros = Micros::from_millis(1_000);
 /// The longest pause, as a number of doublings.
 const PAUSE_DOUBLINGS: u32 = 4;
+/// After this long without a failure the next pause is the first again.
+const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
 /// The share of the aim that an attempt may take before another server is tried.
@@ -72,7 +74,6 @@
 /// What this node holds of one server.
 struct Server {
     entry: ServerEntry,
-    /// When this node learnt of the present start, if it did after its own.
     told_sum: f64,
     untold: Vec<u32>,
     groups: BTreeMap<GroupId, u32>,
@@ -85,7 +86,8 @@
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
     next_send: Micros,
-    accepted: u32,
+    /// Connections accepted in this period, less those that broke.
+    accepted: i32,
 }
 
 impl Server {
@@ -532,7 +534,6 @@
         conn.stage = Stage::Open(s);
         conn.ran.get_or_insert((s, conn.sent));
         let server = &mut self.servers[s];
-        server.failures = 0;
         server.accepted += 1;
         self.setup.add(latency.0 as f64);
     }
@@ -566,7 +567,8 @@
     }
 
     /// Guards against the server that fails fast, keeps a low record and so draws all new work: each failure
-    /// in a row doubles a pause in sending to it, a success ends the count.
+    /// doubles a pause in sending to it until it has kept clear of failures for a while. A set-up that
+    /// succeeds proves little: a server that takes connections and then drops them would draw them all.
     fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome) {
         let failed = match outcome {
             Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed => true,
@@ -577,6 +579,15 @@
             return;
         }
         let server = &mut self.servers[s];
+        if outcome == Outcome::Reset && matches!(conn.stage, Stage::Open(_)) {
+            server.accepted -= 1;
+        }
+        if now < server.paused_until {
+            return;
+        }
+        if now > server.paused_until + PAUSE_FORGOTTEN {
+            server.failures = 0;
+        }
         let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
         server.failures += 1;
         server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
@@ -589,9 +600,11 @@
         let warm: Vec<usize> = (0..self.servers.len())
             .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
             .collect();
-        let accepted: u32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
+        // Less what broke: in a storm of resets the same clients are accepted again and again, and a cold
+        // server must not be measured by that.
+        let accepted: i32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
         if !warm.is_empty() {
-            self.intake.add(f64::from(accepted) / warm.len() as f64 / PERIOD.as_secs_f64());
+            self.intake.add(f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64());
         }
         self.servers.iter_mut().for_each(|s| s.accepted = 0);
         let late = self.late_servers(now);
