--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,14 +25,14 @@
 const LATE_SHARE: f64 = 0.5;
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
-/// What a period of late messages leaves of the speed that a server is believed to have.
-const SPEED_CUT: f64 = 0.6;
+/// Piled work that was told is to be gone after this long.
+const DRAIN: Micros = Micros::from_millis(2_000);
+/// What a late server's load is brought to, as a share of what it was seen to manage.
+const MARGIN: f64 = 0.9;
 /// The lowest believed speed: a server is never written off for good.
 const SPEED_FLOOR: f64 = 0.1;
 /// What a period without late messages gives back.
 const SPEED_GAIN: f64 = 0.04;
-/// Late servers above this share of the ready ones mean common trouble, which moving cannot cure.
-const COMMON_SHARE: f64 = 0.5;
 /// The first pause in sending to a server after a failed set-up; it doubles with each further one.
 const PAUSE_FIRST: Micros = Micros::from_millis(1_000);
 /// The longest pause, as a number of doublings.
@@ -56,6 +56,9 @@
 /// Loads above this are no loads: about a thousand cores' work.
 const LOAD_LIMIT: f64 = 1e9;
 
+/// Delays above this are no delays: a minute.
+const DELAY_LIMIT_MS: f64 = 60_000.0;
+
 /// Wakes the period.
 const TOKEN_PERIOD: TimerToken = TimerToken(0);
 /// Wakes the asking for the list.
@@ -71,6 +74,16 @@
     }
 }
 
+/// What was told of the time that messages take at a server.
+#[derive(Clone, Copy)]
+struct Delay {
+    /// That time.
+    span: Micros,
+    at: Micros,
+    /// Seconds by which it grew each second, from the note before.
+    growth: f64,
+}
+
 /// What this node holds of one server.
 struct Server {
     entry: ServerEntry,
@@ -81,7 +94,7 @@
     above: u32,
     /// Believed speed, one unless messages were late.
     speed: f64,
-    delay: Option<(f64, Micros)>,
+    delay: Option<Delay>,
     failures: u32,
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
@@ -201,14 +214,7 @@
                 self.ended(now, id, server, outcome, closed, actions)
             }
             Event::LoadTold(id, load) => self.load_told(id, load),
-            Event::DelayTold(server, ms) => {
-                if let Some(&s) = self.by_id.get(&server)
-                    && ms.is_finite()
-                    && ms >= 0.0
-                {
-                    self.servers[s].delay = Some((ms * 1_000.0, now));
-                }
-            }
+            Event::DelayTold(server, ms) => self.delay_told(now, server, ms),
             Event::ClientGone(id) => {
                 if let Some(conn) = self.conns.remove(&id) {
                     self.unrecord(&conn);
@@ -387,6 +393,21 @@
         self.conns.insert(id, conn);
     }
 
+    fn delay_told(&mut self, now: Micros, server: ServerId, ms: f64) {
+        let Some(&s) = self.by_id.get(&server) else { return };
+        if !(0.0..=DELAY_LIMIT_MS).contains(&ms) {
+            return;
+        }
+        let span = Micros((ms * 1_000.0) as u64);
+        let growth = match self.servers[s].delay {
+            Some(last) if now < last.at + DELAY_FRESH && now > last.at => {
+                (span.as_secs_f64() - last.span.as_secs_f64()) / (now - last.at).as_secs_f64()
+            }
+            _ => 0.0,
+        };
+        self.servers[s].delay = Some(Delay { span, at: now, growth });
+    }
+
     fn open(&mut self, now: Micros, request: Request, server: ServerId) {
         let Some(&s) = self.by_id.get(&server) else { return };
         let conn = Conn {
@@ -469,7 +490,10 @@
 
     /// Where a connection lands: lowest in the own record, chance among equals.
     fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
-        let usable: Vec<usize> = (0..self.servers.len()).filter(|&s| self.usable(now, s, conn)).collect();
+        // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
+        // all are late the fleet is full and the request is refused.
+        let usable: Vec<usize> =
+            (0..self.servers.len()).filter(|&s| self.usable(now, s, conn) && !self.late(now, s)).collect();
         let ready = self.servers.iter().filter(|s| s.ready()).count();
         let paused = self.servers.iter().filter(|s| s.ready() && now < s.paused_until).count();
         let heed_pauses = paused as f64 <= PAUSED_SHARE * ready as f64;
@@ -607,43 +631,50 @@
             self.intake.add(f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64());
         }
         self.servers.iter_mut().for_each(|s| s.accepted = 0);
-        let late = self.late_servers(now);
         for s in 0..self.servers.len() {
             let server = &mut self.servers[s];
-            if late.contains(&s) {
-                server.speed = (server.speed * SPEED_CUT).max(SPEED_FLOOR);
-            } else {
-                server.speed = (server.speed + SPEED_GAIN).min(1.0);
-            }
+            server.speed = (server.speed + SPEED_GAIN).min(1.0);
         }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
             if self.servers[s].ready() {
-                self.shed(s, mean, late.contains(&s), out);
+                self.shed(now, s, mean, out);
             }
         }
     }
 
-    /// The reactive trigger: ready servers whose messages are late now. Where most of them are, there is no
-    /// better place to move to and none counts.
-    fn late_servers(&self, now: Micros) -> BTreeSet<usize> {
-        let is_late = |s: &Server| {
-            s.delay.is_some_and(|(us, at)| us >= self.late_at.0 as f64 && now < at + DELAY_FRESH)
-        };
-        let ready = self.servers.iter().filter(|s| s.ready()).count();
-        let late: BTreeSet<usize> = (0..self.servers.len())
-            .filter(|&s| self.servers[s].ready() && is_late(&self.servers[s]))
-            .collect();
-        if late.len() as f64 > COMMON_SHARE * ready as f64 { BTreeSet::new() } else { late }
+    /// Whether messages at this server are late now.
+    fn late(&self, now: Micros, s: usize) -> bool {
+        self.servers[s].delay.is_some_and(|d| d.span >= self.late_at && now < d.at + DELAY_FRESH)
+    }
+
+    /// The reactive trigger. A queue that grows tells how far a server is over what it can do, and its length
+    /// what is to be cleared: what is above both is its excess. The server is believed to be as much slower
+    /// than the others as its load says, or it would be filled up again.
+    fn reactive_excess(&mut self, now: Micros, s: usize, mean: f64) -> f64 {
+        let Some(delay) = self.servers[s].delay.filter(|_| self.late(now, s)) else { return 0.0 };
+        let record = self.record(s);
+        let busy = (1.0 + delay.growth).clamp(0.5, 10.0);
+        let manages = MARGIN * record / busy;
+        let size = self.power(s) / self.servers[s].speed;
+        if mean > 0.0 {
+            let speed = (manages / (mean * size)).max(SPEED_FLOOR);
+            self.servers[s].speed = self.servers[s].speed.min(speed);
+        }
+        let piled = delay.span.as_secs_f64() / DRAIN.as_secs_f64();
+        (record - manages * (1.0 - piled)).clamp(0.0, record)
     }
 
-    /// Sheds the excess over the mean of a server that has been above the bar for long enough, or is late.
-    fn shed(&mut self, s: usize, mean: f64, late: bool, out: &mut Vec<Action>) {
+    /// Sheds the excess of a server that has been above the bar for long enough, or is late.
+    fn shed(&mut self, now: Micros, s: usize, mean: f64, out: &mut Vec<Action>) {
+        let reactive = self.reactive_excess(now, s, mean);
         let fair = mean * self.power(s);
         let record = self.record(s);
         let server = &mut self.servers[s];
         server.above = if record > BAR * fair { server.above + 1 } else { 0 };
-        if server.above == 0 || (server.above < PERIODS_ABOVE && !late) {
+        let ordinary = if server.above >= PERIODS_ABOVE { record - fair } else { 0.0 };
+        let mut excess = reactive.max(ordinary);
+        if excess <= 0.0 {
             return;
         }
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
@@ -652,11 +683,10 @@
             .map(|(&id, conn)| (self.load_of(conn), id))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
-        let mut excess = record - fair;
         if excess <= lightest {
             return;
         }
-        let share = if late { REACTIVE_SHARE } else { MOVE_SHARE };
+        let share = if reactive > 0.0 { REACTIVE_SHARE } else { MOVE_SHARE };
         let limit = (open.len() as f64 * share).ceil() as usize;
         for _ in 0..limit {
             let Some(i) = self.closest(&open, excess) else { break };
