--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,8 @@
 const BAR: f64 = 1.1;
 /// Periods above the bar before a server sheds: a load that swings by itself is back under it by then.
 const PERIODS_ABOVE: u32 = 3;
-/// The share of a server's connections that one period may move, rounded up.
+/// The share of a server's connections that one period may move, rounded down: a node that holds few
+/// connections there knows too little of the server's load to move any.
 const MOVE_SHARE: f64 = 0.1;
 /// The same where the server's messages are late: those connections lose more by staying.
 const REACTIVE_SHARE: f64 = 0.5;
@@ -686,8 +687,10 @@
         if excess <= lightest {
             return;
         }
-        let share = if reactive > 0.0 { REACTIVE_SHARE } else { MOVE_SHARE };
-        let limit = (open.len() as f64 * share).ceil() as usize;
+        let count = open.len() as f64;
+        let limit =
+            if reactive > 0.0 { (count * REACTIVE_SHARE).ceil() } else { (count * MOVE_SHARE).floor() };
+        let limit = limit as usize;
         for _ in 0..limit {
             let Some(i) = self.closest(&open, excess) else { break };
             let (load, id) = open.swap_remove(i);
