--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,9 @@
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
+/// A connection joins its group where that server is under this multiple of the mean: each further server
+/// that holds any of a group does the group's work again.
+const GROUP_BAR: f64 = 1.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -508,6 +511,12 @@
             from = usable;
         }
         let mean = self.mean(now);
+        let holds = |s: &usize| conn.request.group.is_some_and(|g| self.servers[*s].groups.contains_key(&g));
+        let room = |s: &usize| self.record(*s) <= GROUP_BAR * mean * self.power(*s);
+        let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
+        if !with_group.is_empty() {
+            from = with_group;
+        }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
             let after = self.landing(now, s, mean, conn);
