--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,7 +44,7 @@
 const PAUSED_SHARE: f64 = 0.35;
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
-const GROUP_BAR: f64 = 3.0;
+const GROUP_BAR: f64 = 1.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -53,6 +53,10 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
+/// First attempts are held back once attempts exceed this multiple of those that succeed.
+const THROTTLE: f64 = 2.0;
+/// What a period leaves of the counts behind that.
+const THROTTLE_KEEP: f64 = 0.85;
 /// The weight of the newest value in running means.
 const NEWEST: f64 = 0.1;
 /// The first wait before the list is asked for again; doubled after each failure.
@@ -170,6 +174,9 @@
     /// Connections that a warm server takes from this node in a second.
     intake: Mean,
     retry_tokens: f64,
+    /// Recent attempts and those that became connections; both fade.
+    tried: f64,
+    succeeded: f64,
     ask_failures: u32,
     late_at: Micros,
 }
@@ -191,6 +198,8 @@
             setup: Mean::default(),
             intake: Mean::default(),
             retry_tokens: RETRY_CAP,
+            tried: 0.0,
+            succeeded: 0.0,
             ask_failures: 0,
         }
     }
@@ -442,18 +451,30 @@
             sent: now,
             told: request.hint.filter(|load| (0.0..=LOAD_LIMIT).contains(load)),
         };
+        if self.throttled() {
+            return self.give_up(&conn, self.set.max_retry_after, out);
+        }
         self.attempt(now, conn, out);
     }
 
+    /// Guards a shared store that has slowed down: when set-ups fail at most servers, trying all the same
+    /// keeps the store's queue full, and what leaves it comes too late. The more fail, the more new requests
+    /// are turned away unsent (the adaptive throttling of the client side).
+    fn throttled(&mut self) -> bool {
+        let over = (self.tried - THROTTLE * self.succeeded) / (self.tried + 1.0);
+        over > 0.0 && self.rng.random::<f64>() < over
+    }
+
     /// Sends a request to a server, or answers it at once where that cannot be.
     fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
         let more = conn.attempts < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
-            return self.give_up(&conn, out);
+            return self.give_up(&conn, self.aim(&conn), out);
         };
         conn.stage = Stage::Trying(s);
         conn.attempts += 1;
+        self.tried += 1.0;
         conn.sent = now;
         conn.tried.push(s);
         let gap = self.cold_gap(now, s);
@@ -470,14 +491,18 @@
         if conn.attempts >= self.set.max_attempts || self.retry_tokens < 1.0 {
             return None;
         }
-        let aim = self.set.classes.get(conn.request.class as usize)?.aim;
+        let aim = self.aim(conn);
         let usual = Micros((self.setup.0.unwrap_or(0.0) * SETUP_STRETCH) as u64);
         let cap = aim.scale(ATTEMPT_SHARE).max(usual);
         (now + cap.scale(2.0) <= conn.deadline).then_some(cap)
     }
 
+    fn aim(&self, conn: &Conn) -> Micros {
+        self.set.classes.get(conn.request.class as usize).map_or(PERIOD, |class| class.aim)
+    }
+
     /// The final answer for a request that is given up: at once, so that the client can come again.
-    fn give_up(&mut self, conn: &Conn, out: &mut Vec<Action>) {
+    fn give_up(&mut self, conn: &Conn, wait: Micros, out: &mut Vec<Action>) {
         let class = self.set.classes.get(conn.request.class as usize);
         let harmless = match class.map(|c| c.semantics) {
             Some(Semantics::Retryable | Semantics::Dedup(DedupGroup::All)) => true,
@@ -487,8 +512,7 @@
             return out.push(Action::Fail(conn.request.id));
         }
         // Spread out, or those turned away together would come back together.
-        let aim = class.map_or(PERIOD, |c| c.aim);
-        let wait = aim.scale(0.5 + self.rng.random::<f64>()).min(self.set.max_retry_after);
+        let wait = wait.min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
@@ -569,6 +593,7 @@
         conn.ran.get_or_insert((s, conn.sent));
         let server = &mut self.servers[s];
         server.accepted += 1;
+        self.succeeded += 1.0;
         self.setup.add(latency.0 as f64);
     }
 
@@ -594,7 +619,7 @@
         }
         conn.stage = Stage::Held;
         if self.retry_tokens < 1.0 {
-            return self.give_up(&conn, out);
+            return self.give_up(&conn, self.aim(&conn), out);
         }
         self.retry_tokens -= 1.0;
         self.attempt(now, conn, out);
@@ -631,6 +656,8 @@
 
     fn period(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
+        self.tried *= THROTTLE_KEEP;
+        self.succeeded *= THROTTLE_KEEP;
         let warm: Vec<usize> = (0..self.servers.len())
             .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
             .collect();
