--- a/src/policy.rs
+++ b/src/policy.rs
@@ -485,10 +485,10 @@
     }
 
     /// The time after which another server is tried: only where an attempt, the time and the budget for
-    /// retries are left. It stretches with the usual set-up, or a slow shared store would turn every set-up
-    /// into several.
+    /// retries are left, and once only. It stretches with the usual set-up, or a slow shared store would turn
+    /// every set-up into several.
     fn time_out(&self, now: Micros, conn: &Conn) -> Option<Micros> {
-        if conn.attempts >= self.set.max_attempts || self.retry_tokens < 1.0 {
+        if conn.attempts >= self.set.max_attempts.min(2) || self.retry_tokens < 1.0 {
             return None;
         }
         let aim = self.aim(conn);
@@ -608,6 +608,10 @@
     ) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.unrecord(&conn);
+        if outcome == Outcome::Timeout {
+            // It would have taken longer than this: at least as good as a sample.
+            self.setup.add(2.0 * (now - conn.sent).0 as f64);
+        }
         if let Some(&s) = self.by_id.get(&server) {
             self.judge(now, s, &conn, outcome);
             if outcome.may_have_run() {
