--- a/src/policy.rs
+++ b/src/policy.rs
@@ -540,6 +540,13 @@
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
+        } else if let Some(group) = conn.request.group {
+            // All nodes begin a group on the same server, as far as their records let them.
+            let below = |s: &usize| self.record(*s) <= mean * self.power(*s) && self.warmth(now, *s) >= 1.0;
+            let rank = |s: &usize| meeting_rank(group, self.servers[*s].entry.id);
+            if let Some(s) = from.iter().copied().filter(below).max_by_key(rank) {
+                return Some(s);
+            }
         }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
@@ -753,3 +760,12 @@
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 }
+
+/// The rank of a server for a group: the same at every node, and unlike for other groups (rendezvous
+/// hashing, with the finaliser of SplitMix64).
+fn meeting_rank(group: GroupId, server: ServerId) -> u64 {
+    let mut x = group.0 ^ server.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
