All sheds of a period share an allowance of 5% of the node's connections

Cause: in a jam of many servers half of the connections moved each second from one jammed server to the next.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,6 +22,9 @@
 const MOVE_SHARE: f64 = 0.1;
 /// The same where the server's messages are late: those connections lose more by staying.
 const REACTIVE_SHARE: f64 = 0.5;
+/// The share of all connections that one period may move, rounded up: in a jam of many servers more would
+/// only chase connections from one to the next.
+const PERIOD_SHARE: f64 = 0.05;
 /// The reactive trigger: messages take this share of the shortest message aim.
 const LATE_SHARE: f64 = 0.5;
 /// A told delay counts this long; notes come once a second while messages are late.
@@ -540,13 +543,6 @@
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
-        } else if let Some(group) = conn.request.group {
-            // All nodes begin a group on the same server, as far as their records let them.
-            let below = |s: &usize| self.record(*s) <= mean * self.power(*s) && self.warmth(now, *s) >= 1.0;
-            let rank = |s: &usize| meeting_rank(group, self.servers[*s].entry.id);
-            if let Some(s) = from.iter().copied().filter(below).max_by_key(rank) {
-                return Some(s);
-            }
         }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
@@ -684,10 +680,13 @@
             server.speed = (server.speed + SPEED_GAIN).min(1.0);
         }
         let mean = self.mean(now);
-        for s in 0..self.servers.len() {
-            if self.servers[s].ready() {
-                self.shed(now, s, mean, out);
-            }
+        // The latest first: all sheds of a period share one allowance.
+        let mut order: Vec<usize> = (0..self.servers.len()).filter(|&s| self.servers[s].ready()).collect();
+        order.sort_by_key(|&s| std::cmp::Reverse(self.servers[s].delay.map(|d| d.span)));
+        let held: usize = order.iter().map(|&s| self.servers[s].conns.len()).sum();
+        let mut allowance = (held as f64 * PERIOD_SHARE).ceil() as usize;
+        for s in order {
+            allowance -= self.shed(now, s, mean, allowance, out);
         }
     }
 
@@ -713,8 +712,9 @@
         (record - manages * (1.0 - piled)).clamp(0.0, record)
     }
 
-    /// Sheds the excess of a server that has been above the bar for long enough, or is late.
-    fn shed(&mut self, now: Micros, s: usize, mean: f64, out: &mut Vec<Action>) {
+    /// Sheds the excess of a server that has been above the bar for long enough, or is late. Returns how many
+    /// connections were moved.
+    fn shed(&mut self, now: Micros, s: usize, mean: f64, allowance: usize, out: &mut Vec<Action>) -> usize {
         let reactive = self.reactive_excess(now, s, mean);
         let fair = mean * self.power(s);
         let record = self.record(s);
@@ -723,7 +723,7 @@
         let ordinary = if server.above >= PERIODS_ABOVE { record - fair } else { 0.0 };
         let mut excess = reactive.max(ordinary);
         if excess <= 0.0 {
-            return;
+            return 0;
         }
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
@@ -732,13 +732,13 @@
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         if excess <= lightest {
-            return;
+            return 0;
         }
         let count = open.len() as f64;
         let limit =
             if reactive > 0.0 { (count * REACTIVE_SHARE).ceil() } else { (count * MOVE_SHARE).floor() };
-        let limit = limit as usize;
-        for _ in 0..limit {
+        let mut moved = 0;
+        while moved < (limit as usize).min(allowance) {
             let Some(i) = self.closest(&open, excess) else { break };
             let (load, id) = open.swap_remove(i);
             if (excess - load).abs() >= excess.abs() {
@@ -749,7 +749,9 @@
                 conn.stage = Stage::Leaving(s);
                 out.push(Action::Move(id));
             }
+            moved += 1;
         }
+        moved
     }
 
     /// The connection whose load is closest to the excess; chance decides between equals.
@@ -760,12 +762,3 @@
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 }
-
-/// The rank of a server for a group: the same at every node, and unlike for other groups (rendezvous
-/// hashing, with the finaliser of SplitMix64).
-fn meeting_rank(group: GroupId, server: ServerId) -> u64 {
-    let mut x = group.0 ^ server.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
