Remember the record at which a server was full and land only below it

Cause: once a jam had drained, landing by the lowest record filled the same server up again. Each late note gives what the server manages of this node's load; landings stay below that, let out by 5% a period.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,8 @@
 /// Loads above this are no loads: about a thousand cores' work.
 const LOAD_LIMIT: f64 = 1e9;
 
+/// What a period gives back of the load at which a server was full.
+const LIMIT_GAIN: f64 = 1.05;
 /// Delays above this are no delays: a minute.
 const DELAY_LIMIT_MS: f64 = 60_000.0;
 
@@ -106,6 +108,8 @@
     /// Believed speed, one unless messages were late.
     speed: f64,
     delay: Option<Delay>,
+    /// The own record at which it was seen to be full, let out again a little each period.
+    limit: f64,
     failures: u32,
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
@@ -125,6 +129,7 @@
             above: 0,
             speed: 1.0,
             delay: None,
+            limit: f64::INFINITY,
             failures: 0,
             paused_until: Micros(0),
             next_send: Micros(0),
@@ -284,6 +289,7 @@
             let gap = self.cold_gap(now, s).scale(self.rng.random::<f64>());
             let server = &mut self.servers[s];
             (server.speed, server.delay, server.failures, server.above) = (1.0, None, 0, 0);
+            server.limit = f64::INFINITY;
             server.paused_until = Micros(0);
             server.next_send = now + gap;
         }
@@ -523,8 +529,11 @@
     fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
-        let usable: Vec<usize> =
-            (0..self.servers.len()).filter(|&s| self.usable(now, s, conn) && !self.late(now, s)).collect();
+        let usable: Vec<usize> = (0..self.servers.len())
+            .filter(|&s| {
+                self.usable(now, s, conn) && !self.late(now, s) && self.record(s) < self.servers[s].limit
+            })
+            .collect();
         let ready = self.servers.iter().filter(|s| s.ready()).count();
         let paused = self.servers.iter().filter(|s| s.ready() && now < s.paused_until).count();
         let heed_pauses = paused as f64 <= PAUSED_SHARE * ready as f64;
@@ -678,6 +687,7 @@
         for s in 0..self.servers.len() {
             let server = &mut self.servers[s];
             server.speed = (server.speed + SPEED_GAIN).min(1.0);
+            server.limit *= LIMIT_GAIN;
         }
         let mean = self.mean(now);
         // The latest first: all sheds of a period share one allowance.
@@ -703,6 +713,7 @@
         let record = self.record(s);
         let busy = (1.0 + delay.growth).clamp(0.5, 10.0);
         let manages = MARGIN * record / busy;
+        self.servers[s].limit = self.servers[s].limit.min(manages);
         let size = self.power(s) / self.servers[s].speed;
         if mean > 0.0 {
             let speed = (manages / (mean * size)).max(SPEED_FLOOR);
