--- a/src/policy.rs
+++ b/src/policy.rs
@@ -739,7 +739,7 @@
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
             .filter(|(_, conn)| matches!(conn.stage, Stage::Open(_)))
-            .map(|(&id, conn)| (self.load_of(conn), id))
+            .filter_map(|(&id, conn)| Some((self.freed(s, conn)?, id)))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         if excess <= lightest {
@@ -765,6 +765,18 @@
         moved
     }
 
+    /// What moving a connection takes off a server; nothing where its group stays behind and would begin
+    /// anew elsewhere with more work than the connection's own.
+    fn freed(&self, s: usize, conn: &Conn) -> Option<f64> {
+        let load = self.load_of(conn);
+        let usual = self.usual_load.0.unwrap_or(1.0);
+        match conn.request.group.and_then(|group| self.servers[s].groups.get(&group)) {
+            None => Some(load),
+            Some(1) => Some(load + usual),
+            Some(_) => (load > usual).then_some(load),
+        }
+    }
+
     /// The connection whose load is closest to the excess; chance decides between equals.
     fn closest(&mut self, open: &[(f64, RequestId)], excess: f64) -> Option<usize> {
         let gap = |i: usize| (open[i].0 - excess).abs();
