--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
 const PAUSED_SHARE: f64 = 0.35;
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
-const GROUP_BAR: f64 = 1.5;
+const GROUP_BAR: f64 = 2.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
