--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,13 +41,15 @@
 const PAUSE_FIRST: Micros = Micros::from_millis(1_000);
 /// The longest pause, as a number of doublings.
 const PAUSE_DOUBLINGS: u32 = 4;
+/// A server that turned work away is left alone for this long.
+const FULL_PAUSE: Micros = Micros::from_millis(1_000);
 /// After this long without a failure the next pause is the first again.
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
-const GROUP_BAR: f64 = 2.5;
+const GROUP_BAR: f64 = 1.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -111,6 +113,8 @@
     /// The own record at which it was seen to be full, let out again a little each period.
     limit: f64,
     failures: u32,
+    /// It turned work away: nothing is sent before this.
+    full_until: Micros,
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
     next_send: Micros,
@@ -131,6 +135,7 @@
             delay: None,
             limit: f64::INFINITY,
             failures: 0,
+            full_until: Micros(0),
             paused_until: Micros(0),
             next_send: Micros(0),
             accepted: 0,
@@ -578,7 +583,8 @@
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready() || (self.warmth(now, s) < 1.0 && now < server.next_send) {
+        if !server.ready() || now < server.full_until || (self.warmth(now, s) < 1.0 && now < server.next_send)
+        {
             return false;
         }
         let Some(class) = self.set.classes.get(conn.request.class as usize) else { return true };
@@ -646,7 +652,7 @@
     /// succeeds proves little: a server that takes connections and then drops them would draw them all.
     fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome) {
         let failed = match outcome {
-            Outcome::Error | Outcome::Full | Outcome::Timeout | Outcome::ConnectFailed => true,
+            Outcome::Full | Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => true,
             Outcome::Reset => true,
             Outcome::Ok | Outcome::Cancelled | Outcome::Moot => false,
         };
@@ -654,6 +660,11 @@
             return;
         }
         let server = &mut self.servers[s];
+        if outcome == Outcome::Full {
+            // It has no room, which says nothing of its health; what else it is sent now only costs it work.
+            server.full_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
+            return;
+        }
         if outcome == Outcome::Reset && matches!(conn.stage, Stage::Open(_)) {
             server.accepted -= 1;
         }
