--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here decides anything, and nothing here knows how the words travel.
 
+use std::fmt;
 use std::ops::{Add, Sub};
 
 /// A point in time or a span of it, in whole microseconds.
@@ -48,6 +49,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub u64);
 
+/// As an address and a port: 32 bits and 16 bits of the number.
+impl fmt::Display for ServerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let part = |shift: u32| self.0 >> shift & 0xff;
+        write!(f, "{}.{}.{}.{}:{}", part(40), part(32), part(24), part(16), self.0 & 0xffff)
+    }
+}
+
 /// A group of connections that share work on each server that holds any of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GroupId(pub u64);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,8 @@
 const PAUSE_FIRST: Micros = Micros::from_millis(1_000);
 /// The longest pause, as a number of doublings.
 const PAUSE_DOUBLINGS: u32 = 4;
+/// Failures without a clear while between them that are worth a line.
+const PAUSE_TOLD: u32 = 3;
 /// A server that turned work away is left alone for this long.
 const FULL_PAUSE: Micros = Micros::from_millis(1_000);
 /// After this long without a failure the next pause is the first again.
@@ -71,9 +73,16 @@
 
 /// What a period gives back of the load at which a server was full.
 const LIMIT_GAIN: f64 = 1.05;
+/// A period's intake counts up to twice the usual and this many connections a second more.
+const INTAKE_STEP: f64 = 0.2;
+/// The longest gap between sends to a cold server, as a share of the warm-up: some intake is always due.
+const UNKNOWN_GAP: f64 = 0.25;
 /// Delays above this are no delays: a minute.
 const DELAY_LIMIT_MS: f64 = 60_000.0;
 
+/// Log lines in a period, at most: a storm must not drown its own causes.
+const LOG_LINES: u32 = 4;
+
 /// Wakes the period.
 const TOKEN_PERIOD: TimerToken = TimerToken(0);
 /// Wakes the asking for the list.
@@ -172,6 +181,21 @@
     told: Option<f64>,
 }
 
+impl Conn {
+    fn new(now: Micros, request: Request) -> Self {
+        Conn {
+            request,
+            deadline: now + request.remaining,
+            stage: Stage::Held,
+            attempts: 0,
+            tried: Vec::new(),
+            ran: None,
+            sent: now,
+            told: request.hint.filter(|load| (0.0..=LOAD_LIMIT).contains(load)),
+        }
+    }
+}
+
 /// The decisions of one node.
 pub struct Policy {
     set: Settings,
@@ -184,13 +208,17 @@
     usual_load: Mean,
     /// The usual time of a set-up, in microseconds.
     setup: Mean,
-    /// Connections that a warm server takes from this node in a second.
-    intake: Mean,
+    /// Connections that a warm server takes from this node in a second; nothing at first.
+    intake: f64,
     retry_tokens: f64,
     /// Recent attempts and those that became connections; both fade.
     tried: f64,
     succeeded: f64,
     ask_failures: u32,
+    /// A timer for asking again is set.
+    asking: bool,
+    /// Log lines that this period may still write.
+    log_left: u32,
     late_at: Micros,
 }
 
@@ -209,11 +237,13 @@
             class_load: vec![Mean::default(); classes],
             usual_load: Mean::default(),
             setup: Mean::default(),
-            intake: Mean::default(),
+            intake: 0.0,
             retry_tokens: RETRY_CAP,
             tried: 0.0,
             succeeded: 0.0,
             ask_failures: 0,
+            asking: false,
+            log_left: LOG_LINES,
         }
     }
 
@@ -247,11 +277,21 @@
                 }
             }
             Event::Timer(TOKEN_PERIOD) => self.period(now, actions),
-            Event::Timer(TOKEN_ASK) => actions.push(Action::Watch),
+            Event::Timer(TOKEN_ASK) => {
+                self.asking = false;
+                actions.push(Action::Watch);
+            }
             Event::Timer(_) | Event::Probed { .. } | Event::Peer(..) => {}
         }
     }
 
+    fn log(&mut self, line: String, out: &mut Vec<Action>) {
+        if self.log_left > 0 {
+            self.log_left -= 1;
+            out.push(Action::Log(line));
+        }
+    }
+
     // ---- the server list ----
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
@@ -259,8 +299,12 @@
             // A subscription that broke is asked for again, later each time but within the list's own limit.
             let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
             let wait = wait.scale(0.5 + self.rng.random::<f64>()).min(self.set.must_ask_in.scale(0.5));
-            self.ask_failures += 1;
-            out.push(Action::SetTimer(wait, TOKEN_ASK));
+            if !self.asking {
+                self.asking = true;
+                self.ask_failures += 1;
+                out.push(Action::SetTimer(wait, TOKEN_ASK));
+                self.log(format!("list: call failed, asking again in {} ms", wait.0 / 1_000), out);
+            }
             return;
         }
         if kind != ListKind::Cached {
@@ -319,8 +363,9 @@
             return Micros(0);
         }
         let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        let rate = self.intake.0.unwrap_or(0.0) * share * self.set.fall_multiple;
-        if rate > 0.0 { Micros((1e6 / rate).min(1e9) as u64) } else { self.set.cold }
+        let rate = self.intake * share * self.set.fall_multiple;
+        let unknown = self.set.cold.scale(UNKNOWN_GAP);
+        if rate > 0.0 { Micros((1e6 / rate) as u64).min(unknown) } else { unknown }
     }
 
     // ---- the record ----
@@ -437,16 +482,8 @@
 
     fn open(&mut self, now: Micros, request: Request, server: ServerId) {
         let Some(&s) = self.by_id.get(&server) else { return };
-        let conn = Conn {
-            request,
-            deadline: now + request.remaining,
-            stage: Stage::Open(s),
-            attempts: 1,
-            tried: vec![s],
-            ran: Some((s, now)),
-            sent: now,
-            told: request.hint,
-        };
+        let mut conn = Conn::new(now, request);
+        conn.stage = Stage::Open(s);
         self.enter(s, &conn);
         self.conns.insert(request.id, conn);
     }
@@ -455,16 +492,7 @@
 
     fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
-        let conn = Conn {
-            request,
-            deadline: now + request.remaining,
-            stage: Stage::Held,
-            attempts: 0,
-            tried: Vec::new(),
-            ran: None,
-            sent: now,
-            told: request.hint.filter(|load| (0.0..=LOAD_LIMIT).contains(load)),
-        };
+        let conn = Conn::new(now, request);
         if self.throttled() {
             return self.give_up(&conn, self.set.max_retry_after, out);
         }
@@ -631,7 +659,7 @@
             self.setup.add(2.0 * (now - conn.sent).0 as f64);
         }
         if let Some(&s) = self.by_id.get(&server) {
-            self.judge(now, s, &conn, outcome);
+            self.judge(now, s, &conn, outcome, out);
             if outcome.may_have_run() {
                 conn.ran.get_or_insert((s, conn.sent));
             }
@@ -650,7 +678,7 @@
     /// Guards against the server that fails fast, keeps a low record and so draws all new work: each failure
     /// doubles a pause in sending to it until it has kept clear of failures for a while. A set-up that
     /// succeeds proves little: a server that takes connections and then drops them would draw them all.
-    fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome) {
+    fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome, out: &mut Vec<Action>) {
         let failed = match outcome {
             Outcome::Full | Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => true,
             Outcome::Reset => true,
@@ -677,22 +705,28 @@
         let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
         server.failures += 1;
         server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
+        let (id, failures) = (server.entry.id, server.failures);
+        if failures == PAUSE_TOLD {
+            self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
+        }
     }
 
     // ---- shedding ----
 
     fn period(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
+        self.log_left = LOG_LINES;
         self.tried *= THROTTLE_KEEP;
         self.succeeded *= THROTTLE_KEEP;
         let warm: Vec<usize> = (0..self.servers.len())
             .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
             .collect();
-        // Less what broke: in a storm of resets the same clients are accepted again and again, and a cold
-        // server must not be measured by that.
         let accepted: i32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
         if !warm.is_empty() {
-            self.intake.add(f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64());
+            // Less what broke, and never far above what is usual: in a storm the same clients are accepted
+            // again and again, and what a cold server may be sent must not be measured by that.
+            let sample = f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64();
+            self.intake += NEWEST * (sample.min(2.0 * self.intake + INTAKE_STEP) - self.intake);
         }
         self.servers.iter_mut().for_each(|s| s.accepted = 0);
         for s in 0..self.servers.len() {
