--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,8 @@
 const RETRY_CAP: f64 = 10.0;
 /// First attempts are held back once attempts exceed this multiple of those that succeed.
 const THROTTLE: f64 = 2.0;
+/// Failures that prove nothing yet.
+const THROTTLE_FREE: f64 = 5.0;
 /// What a period leaves of the counts behind that.
 const THROTTLE_KEEP: f64 = 0.85;
 /// The weight of the newest value in running means.
@@ -299,7 +301,7 @@
             // A subscription that broke is asked for again, later each time but within the list's own limit.
             let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
             let wait = wait.scale(0.5 + self.rng.random::<f64>()).min(self.set.must_ask_in.scale(0.5));
-            if !self.asking {
+            if self.set.must_ask && !self.asking {
                 self.asking = true;
                 self.ask_failures += 1;
                 out.push(Action::SetTimer(wait, TOKEN_ASK));
@@ -503,7 +505,7 @@
     /// keeps the store's queue full, and what leaves it comes too late. The more fail, the more new requests
     /// are turned away unsent (the adaptive throttling of the client side).
     fn throttled(&mut self) -> bool {
-        let over = (self.tried - THROTTLE * self.succeeded) / (self.tried + 1.0);
+        let over = (self.tried - THROTTLE * self.succeeded - THROTTLE_FREE) / (self.tried + 1.0);
         over > 0.0 && self.rng.random::<f64>() < over
     }
 
@@ -758,7 +760,9 @@
         let record = self.record(s);
         let busy = (1.0 + delay.growth).clamp(0.5, 10.0);
         let manages = MARGIN * record / busy;
-        self.servers[s].limit = self.servers[s].limit.min(manages);
+        // An empty one may take one connection, or it would never be let out again.
+        let usual = self.usual_load.0.unwrap_or(1.0);
+        self.servers[s].limit = self.servers[s].limit.min(manages.max(usual));
         let size = self.power(s) / self.servers[s].speed;
         if mean > 0.0 {
             let speed = (manages / (mean * size)).max(SPEED_FLOOR);
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,147 @@
+//! The four rules under arbitrary legal events, checked on each action (see `support`).
+
+mod support;
+
+use alderstile::interface::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use support::{Node, class, entry, ms, request, settings};
+
+#[derive(Clone, Debug)]
+enum Op {
+    Ask { class: u16, group: u64, hint: Option<f64>, remaining: u64 },
+    Establish(usize),
+    End(usize, u8),
+    Gone(usize),
+    Load(usize, f64),
+    Delay(u64, f64),
+    Pass(u64),
+    Change { server: u64, state: u8, restarted: bool },
+    Full(u64),
+    Failed,
+    Stray(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let load = prop_oneof![
+        4 => 0.0..1e6,
+        1 => prop_oneof![Just(f64::NAN), Just(f64::INFINITY), Just(-1.0), Just(1e30)],
+    ];
+    prop_oneof![
+        8 => (0..6u16, 0..4u64, proptest::option::of(load.clone()), 0..3_000u64)
+            .prop_map(|(class, group, hint, remaining)| Op::Ask { class, group, hint, remaining }),
+        8 => any::<usize>().prop_map(Op::Establish),
+        6 => (any::<usize>(), 0..8u8).prop_map(|(i, how)| Op::End(i, how)),
+        1 => any::<usize>().prop_map(Op::Gone),
+        4 => (any::<usize>(), load.clone()).prop_map(|(i, load)| Op::Load(i, load)),
+        3 => (0..9u64, load).prop_map(|(server, ms)| Op::Delay(server, ms / 500.0)),
+        6 => (0..1_500u64).prop_map(Op::Pass),
+        2 => (1..9u64, 0..3u8, any::<bool>())
+            .prop_map(|(server, state, restarted)| Op::Change { server, state, restarted }),
+        1 => (0..9u64).prop_map(Op::Full),
+        1 => Just(Op::Failed),
+        1 => any::<u64>().prop_map(Op::Stray),
+    ]
+}
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+fn mixed(must_ask: bool) -> Settings {
+    let semantics = [
+        Semantics::Retryable,
+        Semantics::Dedup(DedupGroup::All),
+        Semantics::Dedup(DedupGroup::Zone),
+        Semantics::Dedup(DedupGroup::Cell),
+        Semantics::Fragile,
+    ];
+    let mut mixed = settings();
+    mixed.classes = semantics.into_iter().map(class).collect();
+    mixed.must_ask = must_ask;
+    mixed.groups = true;
+    mixed
+}
+
+fn run(must_ask: bool, ops: &[Op]) -> Vec<Action> {
+    let mut node = Node::new(mixed(must_ask), 5);
+    let mut live: Vec<u64> = Vec::new();
+    let mut all = Vec::new();
+    let mut next = 1;
+    for op in ops {
+        live.retain(|&id| node.is_held(id));
+        let pick = |i: usize| live.get(i % live.len().max(1)).copied();
+        match *op {
+            Op::Ask { class, group, hint, remaining } => {
+                let class = class.min(4);
+                let group = (group > 0).then_some(GroupId(group));
+                let remaining = ms(remaining);
+                node.ask(Request { class, group, hint, remaining, ..request(next) });
+                live.push(next);
+                next += 1;
+            }
+            Op::Establish(i) => pick(i).into_iter().for_each(|id| node.establish(id)),
+            Op::End(i, how) => pick(i).into_iter().for_each(|id| node.end(id, OUTCOMES[usize::from(how)])),
+            Op::Gone(i) => pick(i).into_iter().for_each(|id| node.client_gone(id)),
+            Op::Load(i, load) => {
+                pick(i).into_iter().for_each(|id| node.event(Event::LoadTold(RequestId(id), load)))
+            }
+            Op::Delay(server, ms) => node.event(Event::DelayTold(ServerId(server), ms)),
+            Op::Pass(span) => node.pass(ms(span)),
+            Op::Change { server, state, restarted } => {
+                let state =
+                    [ServerState::Gone, ServerState::Ready, ServerState::Draining][usize::from(state)];
+                let started = restarted.then_some(node.now);
+                node.list(ListKind::Delta, vec![ServerEntry { state, started, ..entry(server) }]);
+            }
+            Op::Full(servers) => node.list(ListKind::Full, (1..=servers).map(entry).collect()),
+            Op::Failed => node.list(ListKind::Failed, Vec::new()),
+            Op::Stray(id) => {
+                // What is unknown or has ended is ignored.
+                let (id, server) = (RequestId(id | 1 << 51), ServerId(99));
+                node.event(Event::Established { id, latency: ms(1) });
+                let (outcome, report) = (Outcome::Error, vec![f64::NAN]);
+                node.event(Event::Ended { id, server, outcome, closed: false, report });
+                node.event(Event::LoadTold(id, 5.0));
+                node.event(Event::ClientGone(id));
+                node.event(Event::DelayTold(server, 500.0));
+                node.event(Event::Timer(TimerToken(id.0)));
+                node.event(Event::Open(request(id.0), server));
+            }
+        }
+        all.append(&mut node.last.clone());
+    }
+    all
+}
+
+fn check(must_ask: bool) {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[17; 32]);
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = proptest::collection::vec(op(), 1..120);
+    let result = runner.run(&ops, |ops| {
+        // The same events must lead to the same actions.
+        prop_assert_eq!(run(must_ask, &ops), run(must_ask, &ops));
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn rules_hold_under_arbitrary_events_with_a_pushed_list() {
+    check(false);
+}
+
+#[test]
+fn rules_hold_under_arbitrary_events_with_an_asked_list() {
+    check(true);
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,423 @@
+//! One small scenario for each failure that was found, and for the design's ordinary path.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use alderstile::interface::*;
+use support::{Node, class, entry, ms, request, settings};
+
+fn told(node: &mut Node, id: u64, load: f64) {
+    node.event(Event::LoadTold(RequestId(id), load));
+}
+
+fn late(node: &mut Node, server: u64, span_ms: f64) {
+    node.event(Event::DelayTold(ServerId(server), span_ms));
+}
+
+/// Passes `n` periods and returns all connections moved.
+fn periods(node: &mut Node, n: u64) -> Vec<u64> {
+    let mut moved = Vec::new();
+    for _ in 0..n * 10 {
+        node.last.clear();
+        node.pass(ms(100));
+        moved.extend(node.moves());
+    }
+    moved
+}
+
+fn counts(node: &Node, ids: std::ops::Range<u64>) -> BTreeMap<u64, usize> {
+    let mut counts = BTreeMap::new();
+    for server in ids.filter_map(|id| node.where_is(id)) {
+        *counts.entry(server).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[test]
+fn landing_takes_the_lowest_own_record() {
+    let mut node = Node::new(settings(), 4);
+    node.fill(1, 8);
+    assert!(counts(&node, 1..9).values().all(|&n| n == 2), "eight equal connections on four servers");
+    for id in 1..9 {
+        let load = if node.where_is(id) == Some(3) { 10.0 } else { 100.0 };
+        told(&mut node, id, load);
+    }
+    node.ask(request(9));
+    assert_eq!(node.where_is(9), Some(3));
+}
+
+#[test]
+fn ties_are_broken_by_chance() {
+    let first = |seed| {
+        let mut policy = alderstile::policy::Policy::new(settings(), seed, ms(0));
+        let mut actions = Vec::new();
+        policy.handle(ms(1), Event::List(ListKind::Full, (1..=4).map(entry).collect()), &mut actions);
+        policy.handle(ms(2), Event::Request(request(1)), &mut actions);
+        format!("{actions:?}")
+    };
+    let distinct: std::collections::BTreeSet<String> = (0..40).map(first).collect();
+    assert_eq!(distinct.len(), 4, "each of four equal servers is taken for some seed");
+}
+
+#[test]
+fn a_server_above_the_bar_for_several_periods_sheds_its_excess() {
+    let mut node = Node::new(settings(), 2);
+    for id in 1..=40 {
+        node.open(id, 1 + id % 2);
+        told(&mut node, id, if id % 2 == 0 { 130.0 } else { 100.0 });
+    }
+    assert!(periods(&mut node, 2).is_empty(), "not before the third period above the bar");
+    let moved = periods(&mut node, 2);
+    // Server 1 holds 2600, the other 2000: an excess of 300 is shed by two of 130 each (a tenth of 20).
+    assert_eq!(moved.len(), 2);
+    assert!(moved.iter().all(|id| id % 2 == 0));
+}
+
+#[test]
+fn an_excess_below_the_lightest_connection_moves_nothing() {
+    let mut node = Node::new(settings(), 2);
+    for id in 1..=21 {
+        node.open(id, if id <= 11 { 1 } else { 2 });
+        told(&mut node, id, 100.0);
+    }
+    assert!(periods(&mut node, 6).is_empty());
+}
+
+#[test]
+fn a_node_that_holds_few_connections_moves_none_by_its_record() {
+    // Found on quiet days with two or three own connections a server: moves cost and told nothing.
+    let mut node = Node::new(settings(), 2);
+    for (id, server, load) in [(1, 1, 500.0), (2, 1, 300.0), (3, 2, 100.0), (4, 2, 50.0)] {
+        node.open(id, server);
+        told(&mut node, id, load);
+    }
+    assert!(periods(&mut node, 6).is_empty());
+}
+
+#[test]
+fn a_load_that_is_no_load_does_not_enter_the_record() {
+    let mut node = Node::new(settings(), 2);
+    node.open(1, 1);
+    told(&mut node, 1, 100.0);
+    for load in [f64::NAN, f64::INFINITY, -5.0, 1e30] {
+        told(&mut node, 1, load);
+    }
+    node.open(2, 2);
+    told(&mut node, 2, 50.0);
+    node.ask(request(3));
+    assert_eq!(node.where_is(3), Some(2));
+}
+
+#[test]
+fn the_record_returns_to_nothing_when_all_is_over() {
+    let mut node = Node::new(settings(), 2);
+    node.open(1, 1);
+    told(&mut node, 1, 0.1 + 0.2);
+    told(&mut node, 1, 1e6);
+    node.end(1, Outcome::Ok);
+    node.open(2, 2);
+    told(&mut node, 2, 1e-9);
+    node.ask(request(3));
+    assert_eq!(node.where_is(3), Some(1));
+}
+
+#[test]
+fn late_messages_start_the_reactive_shed_without_waiting() {
+    let mut node = Node::new(settings(), 3);
+    for id in 1..=30 {
+        node.open(id, 1 + id % 3);
+        told(&mut node, id, 100.0);
+    }
+    late(&mut node, 1, 500.0);
+    let moved = periods(&mut node, 1);
+    assert!(!moved.is_empty());
+    assert!(moved.iter().all(|id| id % 3 == 0), "only from the late server");
+    assert!(moved.len() <= 2, "5% of 30 connections, rounded up");
+}
+
+#[test]
+fn nothing_lands_where_messages_are_late() {
+    // Found on a day of jams: the late server had the lowest record and drew all new work.
+    let mut node = Node::new(settings(), 2);
+    node.open(1, 2);
+    late(&mut node, 1, 80.0);
+    node.ask(request(2));
+    assert_eq!(node.where_is(2), Some(2));
+    late(&mut node, 2, 80.0);
+    node.ask(request(3));
+    assert!(node.refused(3).is_some(), "where all are late the fleet is full");
+    node.pass(ms(2_000));
+    node.ask(request(4));
+    assert!(node.where_is(4).is_some(), "an old note no longer counts");
+}
+
+#[test]
+fn a_server_that_was_full_is_not_filled_to_the_same_record_again() {
+    // Found on the first sofia-chat incident: a drained jam was filled up again at once.
+    let mut node = Node::new(settings(), 2);
+    for id in 1..=20 {
+        node.open(id, 1 + id % 2);
+        told(&mut node, id, 100.0);
+    }
+    late(&mut node, 1, 60.0);
+    periods(&mut node, 1);
+    node.pass(ms(1_700));
+    let before = counts(&node, 1..21)[&1];
+    node.fill(100, 40);
+    let after = counts(&node, 1..141)[&1];
+    assert!(after <= before + 1, "{before} before, {after} after");
+}
+
+#[test]
+fn a_server_that_fails_fast_does_not_draw_all_new_work() {
+    let mut node = Node::new(settings(), 4);
+    for id in 1..=8 {
+        node.open(id, 1 + id % 3);
+    }
+    // Server 4 is lowest, and fails.
+    node.ask(request(20));
+    assert_eq!(node.where_is(20), Some(4));
+    node.end(20, Outcome::Error);
+    assert_ne!(node.where_is(20), Some(4), "the next try goes to another server");
+    node.ask(request(21));
+    assert_ne!(node.where_is(21), Some(4), "and new work stays away for a while");
+    node.pass(ms(1_300));
+    node.ask(request(22));
+    assert_eq!(node.where_is(22), Some(4), "then it is tried again");
+    node.end(22, Outcome::Error);
+    node.pass(ms(1_300));
+    node.ask(request(23));
+    assert_ne!(node.where_is(23), Some(4), "the next pause is longer");
+}
+
+#[test]
+fn failures_at_all_servers_pause_none() {
+    let mut node = Node::new(settings(), 3);
+    for id in 1..=3 {
+        node.ask(request(id));
+    }
+    for id in 1..=3 {
+        node.end(id, Outcome::Error);
+    }
+    node.ask(request(10));
+    assert!(node.where_is(10).is_some());
+}
+
+#[test]
+fn a_full_server_is_left_alone_even_where_no_other_is_left() {
+    // Found on the first lukema-uusimaa incident: servers at their cap were sent most attempts.
+    let mut node = Node::new(settings(), 1);
+    node.ask(request(1));
+    node.end(1, Outcome::Full);
+    assert!(node.refused(1).is_some());
+    node.ask(request(2));
+    assert!(node.refused(2).is_some());
+    node.pass(ms(1_300));
+    node.ask(request(3));
+    assert_eq!(node.where_is(3), Some(1));
+}
+
+#[test]
+fn connections_of_a_group_land_together_while_there_is_room() {
+    // Found on days with groups: each server that holds any of a group does the group's work.
+    let mut with_groups = settings();
+    with_groups.groups = true;
+    let mut node = Node::new(with_groups, 4);
+    for id in 1..=40 {
+        node.ask(Request { group: Some(GroupId(1 + id % 4)), ..request(id) });
+        node.establish(id);
+        told(&mut node, id, 100.0);
+    }
+    for group in 0..4 {
+        let servers: std::collections::BTreeSet<u64> =
+            (1..=40).filter(|id| id % 4 == group).filter_map(|id| node.where_is(id)).collect();
+        assert!(servers.len() <= 2, "group {group} is on {servers:?}");
+    }
+}
+
+#[test]
+fn shedding_does_not_tear_light_connections_out_of_their_group() {
+    let mut with_groups = settings();
+    with_groups.groups = true;
+    let mut node = Node::new(with_groups, 2);
+    for id in 1..=40 {
+        let group = Some(GroupId(if id <= 30 { 1 } else { 2 }));
+        node.ask(Request { group, ..request(id) });
+        node.establish(id);
+        told(&mut node, id, 100.0);
+    }
+    assert!(periods(&mut node, 6).is_empty(), "none weighs more than the group's work");
+}
+
+#[test]
+fn set_ups_that_fail_everywhere_are_throttled_and_told_to_wait() {
+    // Found on days with a slow session store: every failed set-up came again at once.
+    let mut node = Node::new(settings(), 6);
+    let mut refused = 0;
+    for id in 1..=60 {
+        node.ask(request(id));
+        while node.where_is(id).is_some() {
+            node.end(id, Outcome::Error);
+        }
+        refused += u32::from(node.refused(id).is_some());
+        node.pass(ms(20));
+    }
+    let sends_late = (61..=120)
+        .filter(|&id| {
+            node.ask(request(id));
+            let sent = node.where_is(id).is_some();
+            while node.where_is(id).is_some() {
+                node.end(id, Outcome::Error);
+            }
+            sent
+        })
+        .count();
+    assert!(refused > 30);
+    assert!(sends_late < 20, "{sends_late} of 60 were still sent");
+}
+
+#[test]
+fn a_slow_store_stretches_the_time_out() {
+    let mut node = Node::new(settings(), 4);
+    let time_out = |node: &Node| {
+        node.last.iter().find_map(|action| match action {
+            Action::Send(_, _, time_out) => Some(*time_out),
+            _ => None,
+        })
+    };
+    node.ask(request(1));
+    assert_eq!(time_out(&node), Some(Some(ms(150))), "half of the aim at first");
+    node.pass(ms(150));
+    node.end(1, Outcome::Timeout);
+    assert_eq!(time_out(&node), Some(None), "the further attempt may take all the time that is left");
+    for id in 2..20 {
+        node.ask(Request { remaining: ms(10_000), ..request(id) });
+        node.pass(ms(400));
+        node.end(id, Outcome::Timeout);
+        node.establish(id);
+    }
+    node.ask(Request { remaining: ms(60_000), ..request(30) });
+    assert!(time_out(&node).flatten().is_none_or(|t| t > ms(600)));
+}
+
+#[test]
+fn given_up_is_answered_at_once_with_a_time_to_come_back() {
+    let mut node = Node::new(settings(), 0);
+    node.ask(request(1));
+    assert!(node.refused(1).flatten().is_some());
+    let mut quiet = settings();
+    quiet.retry_after = false;
+    let mut node = Node::new(quiet, 0);
+    node.ask(request(1));
+    assert_eq!(node.refused(1), Some(None));
+}
+
+#[test]
+fn a_fragile_request_that_may_have_run_fails_and_is_not_sent_again() {
+    let mut fragile = settings();
+    fragile.classes = vec![class(Semantics::Fragile)];
+    let mut node = Node::new(fragile, 3);
+    node.ask(request(1));
+    node.end(1, Outcome::Timeout);
+    assert_eq!(node.last.last(), Some(&Action::Fail(RequestId(1))));
+    node.ask(request(2));
+    node.end(2, Outcome::ConnectFailed);
+    assert!(node.where_is(2).is_some(), "one that never ran is tried again");
+}
+
+#[test]
+fn a_dedup_request_stays_in_its_cell_and_window() {
+    let mut dedup = settings();
+    dedup.classes = vec![class(Semantics::Dedup(DedupGroup::Cell))];
+    let mut node = Node::new(dedup, 6);
+    node.ask(request(1));
+    let first = node.where_is(1);
+    node.end(1, Outcome::Error);
+    let second = node.where_is(1);
+    assert_eq!(first.map(|id| id % 3), second.map(|id| id % 3));
+    node.pass(ms(1_100));
+    node.end(1, Outcome::Error);
+    assert_eq!(node.last.last(), Some(&Action::Fail(RequestId(1))), "the window has passed");
+}
+
+#[test]
+fn nothing_goes_to_a_draining_or_missing_server() {
+    let mut node = Node::new(settings(), 3);
+    node.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Draining, ..entry(1) }]);
+    node.list(ListKind::Full, vec![ServerEntry { state: ServerState::Draining, ..entry(1) }, entry(2)]);
+    node.fill(1, 12);
+    assert_eq!(counts(&node, 1..13).keys().copied().collect::<Vec<_>>(), [2]);
+}
+
+#[test]
+fn an_empty_list_refuses_and_a_list_of_one_serves() {
+    let mut node = Node::new(settings(), 3);
+    node.list(ListKind::Full, Vec::new());
+    node.ask(request(1));
+    assert!(node.refused(1).is_some());
+    node.list(ListKind::Full, vec![entry(2)]);
+    node.ask(request(2));
+    assert_eq!(node.where_is(2), Some(2));
+}
+
+#[test]
+fn a_cold_server_gets_this_nodes_share_in_every_window() {
+    // Found on the first lukema-uusimaa incident: a storm of resets swelled the usual intake.
+    let mut node = Node::new(settings(), 4);
+    let mut id = 1;
+    // A steady four connections a second: one a second for each warm server.
+    for _ in 0..160 {
+        node.fill(id, 1);
+        id += 1;
+        node.pass(ms(250));
+    }
+    let storm = |node: &mut Node, id: &mut u64| {
+        for _ in 0..200 {
+            node.ask(request(*id));
+            node.establish(*id);
+            node.end(*id, Outcome::Reset);
+            *id += 1;
+        }
+        node.pass(ms(1_000));
+    };
+    for _ in 0..3 {
+        storm(&mut node, &mut id);
+    }
+    let started = node.now;
+    node.list(ListKind::Delta, vec![ServerEntry { started: Some(started), ..entry(5) }]);
+    for _ in 0..10 {
+        storm(&mut node, &mut id);
+    }
+    let sends = node.cold_sends(5);
+    assert!(!sends.is_empty(), "it is warmed up");
+    for (i, &first) in sends.iter().enumerate() {
+        let within = sends[i..].iter().take_while(|&&at| at < first + ms(2_000)).count();
+        // Three times the usual one a second for two seconds, at most, when warm.
+        assert!(within <= 7, "{within} sends in two seconds");
+    }
+    let early = sends.iter().filter(|&&at| at < started + ms(2_000)).count();
+    assert!(early <= 3, "{early} sends in the first two seconds at a quarter to two fifths of its capacity");
+}
+
+#[test]
+fn a_broken_subscription_is_asked_for_again_later_each_time() {
+    let mut asked = settings();
+    asked.must_ask = true;
+    let mut node = Node::new(asked, 2);
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        node.timers.clear();
+        node.list(ListKind::Failed, Vec::new());
+        let (at, _) = node.timers[0];
+        waits.push(at - node.now);
+        node.list(ListKind::Failed, Vec::new());
+        assert_eq!(node.timers.len(), 1, "one call at a time");
+        node.pass(at - node.now);
+        assert!(node.last.contains(&Action::Watch));
+    }
+    assert!(waits[5] > waits[0]);
+    assert!(waits.iter().all(|&wait| wait <= ms(5_000)), "well within the list's own limit");
+    node.ask(request(1));
+    assert!(node.where_is(1).is_some(), "the list held goes on");
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,304 @@
+//! What the tests share: settings, shorthand for events, and a checker of the four rules on actions.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use alderstile::interface::*;
+use alderstile::policy::Policy;
+
+pub fn ms(ms: u64) -> Micros {
+    Micros::from_millis(ms)
+}
+
+pub fn class(semantics: Semantics) -> ClassSettings {
+    ClassSettings { aim: ms(300), semantics, dedup_window: ms(1_000), message_aim: Some(ms(100)) }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        balancers: 2,
+        zone: 0,
+        classes: vec![class(Semantics::Retryable)],
+        must_ask: false,
+        must_ask_in: ms(10_000),
+        max_attempts: 3,
+        retry_after: true,
+        max_retry_after: ms(1_000),
+        probes: false,
+        may_tell: false,
+        weights: Weights::None,
+        groups: false,
+        report_fields: Vec::new(),
+        cold: ms(10_000),
+        cold_from: 0.25,
+        fall_multiple: 3.0,
+        overload_for: ms(2_000),
+    }
+}
+
+pub fn entry(id: u64) -> ServerEntry {
+    ServerEntry {
+        id: ServerId(id),
+        zone: (id % 2) as u16,
+        cell: (id % 3) as u16,
+        state: ServerState::Ready,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+pub fn request(id: u64) -> Request {
+    Request {
+        id: RequestId(id),
+        class: 0,
+        group: None,
+        hint: None,
+        remaining: ms(1_200),
+        key: None,
+        mid_flow: false,
+    }
+}
+
+#[derive(Default, Debug)]
+struct Held {
+    class: u16,
+    attempts: u32,
+    out_at: Option<ServerId>,
+    /// The first attempt that may have run.
+    ran: Option<(ServerId, Micros)>,
+    sent: Micros,
+    open: bool,
+}
+
+/// A node under test, the requests it owes, and the rules checked on each action.
+pub struct Node {
+    pub policy: Policy,
+    pub now: Micros,
+    pub settings: Settings,
+    held: BTreeMap<RequestId, Held>,
+    ended: BTreeSet<RequestId>,
+    listed: BTreeMap<ServerId, ServerEntry>,
+    cold_sends: BTreeMap<ServerId, Vec<Micros>>,
+    pub timers: Vec<(Micros, TimerToken)>,
+    pub last: Vec<Action>,
+    /// Connections that were moved and whose end is still to be told.
+    leaving: Vec<(RequestId, ServerId)>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, servers: u64) -> Self {
+        let now = ms(1_000_000);
+        let mut actions = Vec::new();
+        let mut policy = Policy::new(settings.clone(), 7, now);
+        policy.start(&mut actions);
+        let mut node = Node {
+            policy,
+            now,
+            settings,
+            held: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            listed: BTreeMap::new(),
+            cold_sends: BTreeMap::new(),
+            timers: Vec::new(),
+            last: Vec::new(),
+            leaving: Vec::new(),
+        };
+        node.check(actions);
+        node.list(ListKind::Full, (1..=servers).map(entry).collect());
+        node
+    }
+
+    pub fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.listed.values_mut().for_each(|e| e.state = ServerState::Gone);
+        }
+        for entry in &entries {
+            self.listed.insert(entry.id, *entry);
+        }
+        self.event(Event::List(kind, entries));
+    }
+
+    pub fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, event, &mut actions);
+        self.check(actions);
+    }
+
+    pub fn ask(&mut self, request: Request) {
+        self.held.insert(request.id, Held { class: request.class, ..Held::default() });
+        self.event(Event::Request(request));
+    }
+
+    pub fn open(&mut self, id: u64, server: u64) {
+        let held = Held { out_at: Some(ServerId(server)), open: true, ..Held::default() };
+        self.held.insert(RequestId(id), held);
+        self.event(Event::Open(request(id), ServerId(server)));
+    }
+
+    pub fn establish(&mut self, id: u64) {
+        if let Some(held) = self.held.get_mut(&RequestId(id))
+            && let Some(server) = held.out_at
+        {
+            held.open = true;
+            held.ran.get_or_insert((server, held.sent));
+            self.event(Event::Established { id: RequestId(id), latency: ms(10) });
+        }
+    }
+
+    /// The end of the attempt that is out, as a server would report it.
+    pub fn end(&mut self, id: u64, outcome: Outcome) {
+        let id = RequestId(id);
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(server) = held.out_at.take() else { return };
+        if outcome.may_have_run() {
+            held.ran.get_or_insert((server, held.sent));
+        }
+        let closed = held.open || outcome == Outcome::Ok;
+        if closed {
+            self.held.remove(&id);
+            self.ended.insert(id);
+        }
+        self.event(Event::Ended { id, server, outcome, closed, report: Vec::new() });
+    }
+
+    pub fn client_gone(&mut self, id: u64) {
+        if self.held.remove(&RequestId(id)).is_some() {
+            self.ended.insert(RequestId(id));
+        }
+        self.event(Event::ClientGone(RequestId(id)));
+    }
+
+    /// Lets time pass and wakes each timer in its turn.
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(i) = (0..self.timers.len()).min_by_key(|&i| self.timers[i].0) {
+            if self.timers[i].0 > until {
+                break;
+            }
+            let (at, token) = self.timers.remove(i);
+            self.now = self.now.max(at);
+            self.event(Event::Timer(token));
+            let told = self.last.clone();
+            for (id, server) in std::mem::take(&mut self.leaving) {
+                let (outcome, closed, report) = (Outcome::Cancelled, true, Vec::new());
+                self.event(Event::Ended { id, server, outcome, closed, report });
+            }
+            self.last = told;
+        }
+        self.now = until;
+    }
+
+    pub fn where_is(&self, id: u64) -> Option<u64> {
+        self.held.get(&RequestId(id)).and_then(|held| held.out_at).map(|server| server.0)
+    }
+
+    pub fn is_held(&self, id: u64) -> bool {
+        self.held.contains_key(&RequestId(id))
+    }
+
+    pub fn refused(&self, id: u64) -> Option<Option<Micros>> {
+        self.last.iter().find_map(|action| match action {
+            Action::Refuse(r, wait) if r.0 == id => Some(*wait),
+            _ => None,
+        })
+    }
+
+    pub fn moves(&self) -> Vec<u64> {
+        let moved = |action: &Action| match action {
+            Action::Move(id) => Some(id.0),
+            _ => None,
+        };
+        self.last.iter().filter_map(moved).collect()
+    }
+
+    pub fn cold_sends(&self, server: u64) -> &[Micros] {
+        self.cold_sends.get(&ServerId(server)).map_or(&[], Vec::as_slice)
+    }
+
+    /// Lands `n` connections from id `first` on and establishes them.
+    pub fn fill(&mut self, first: u64, n: u64) {
+        for id in first..first + n {
+            self.ask(request(id));
+            self.establish(id);
+        }
+    }
+
+    fn check(&mut self, actions: Vec<Action>) {
+        for action in &actions {
+            match action {
+                Action::Send(id, server, time_out) => self.check_send(*id, *server, *time_out),
+                Action::Refuse(id, wait) => {
+                    assert!(
+                        self.settings.retry_after || wait.is_none(),
+                        "a retry-after where none is allowed"
+                    );
+                    assert!(wait.is_none_or(|w| w <= self.settings.max_retry_after));
+                    let held = self.answer(*id);
+                    let class = &self.settings.classes[usize::from(held.class)];
+                    let harmless = match class.semantics {
+                        Semantics::Retryable | Semantics::Dedup(DedupGroup::All) => true,
+                        _ => held.ran.is_none(),
+                    };
+                    assert!(harmless, "refused {id:?}, which may have run");
+                }
+                Action::Fail(id) => {
+                    self.answer(*id);
+                }
+                Action::Move(id) => {
+                    let held = self.held.remove(id).expect("a connection that is held");
+                    assert!(held.open, "moved {id:?}, which is not open");
+                    self.leaving.extend(held.out_at.map(|server| (*id, server)));
+                    self.ended.insert(*id);
+                }
+                Action::SetTimer(after, token) => self.timers.push((self.now + *after, *token)),
+                Action::Probe(_) => assert!(self.settings.probes),
+                Action::TellAll(data) => assert!(self.settings.may_tell && data.len() <= 256),
+                Action::Watch => assert!(self.settings.must_ask),
+                Action::Log(line) => assert!(line.len() < 200),
+            }
+        }
+        for (id, held) in &self.held {
+            assert!(held.out_at.is_some(), "{id:?} is neither answered nor out");
+        }
+        self.last = actions;
+    }
+
+    fn answer(&mut self, id: RequestId) -> Held {
+        let held = self.held.remove(&id).unwrap_or_else(|| panic!("{id:?} answered though not held"));
+        assert!(held.out_at.is_none(), "{id:?} answered with an attempt out");
+        assert!(self.ended.insert(id), "{id:?} answered twice");
+        held
+    }
+
+    fn check_send(&mut self, id: RequestId, server: ServerId, time_out: Option<Micros>) {
+        assert!(!self.ended.contains(&id), "sent {id:?} after its end");
+        assert!(time_out.is_none_or(|t| t > Micros(0)));
+        let entry = *self.listed.get(&server).expect("a server of the list");
+        assert_eq!(entry.state, ServerState::Ready, "sent to {server}, which is not ready");
+        let held = self.held.get_mut(&id).unwrap_or_else(|| panic!("{id:?} sent though not held"));
+        assert!(held.out_at.is_none(), "two attempts of {id:?} at once");
+        held.attempts += 1;
+        assert!(held.attempts <= self.settings.max_attempts);
+        let class = &self.settings.classes[usize::from(held.class)];
+        if let Some((first, sent)) = held.ran {
+            let first = self.listed[&first];
+            match class.semantics {
+                Semantics::Retryable => {}
+                Semantics::Fragile => panic!("{id:?} sent again though it may have run"),
+                Semantics::Dedup(group) => {
+                    assert!(self.now < sent + class.dedup_window, "{id:?} sent again after its window");
+                    assert!(match group {
+                        DedupGroup::All => true,
+                        DedupGroup::Zone => first.zone == entry.zone,
+                        DedupGroup::Cell => first.cell == entry.cell,
+                    });
+                }
+            }
+        }
+        held.out_at = Some(server);
+        held.sent = self.now;
+        if entry.started.is_some_and(|started| self.now < started + self.settings.cold) {
+            self.cold_sends.entry(server).or_default().push(self.now);
+        }
+    }
+}
