--- a/crates/alderstile-drill/src/wire.rs
+++ b/crates/alderstile-drill/src/wire.rs
@@ -132,7 +132,8 @@
             Err(error) => {
                 let inner = error.into_inner().unwrap_or_default();
                 let what = match inner.context().next() {
-                    Some(context) => format!("{context}"),
+                    Some(StrContext::Label(what)) => (*what).to_owned(),
+                    Some(context) => context.to_string(),
                     None => "the frame ends inside a record".to_owned(),
                 };
                 Err(WireError::BadRecord { batch, offset, what })
