--- a/src/policy.rs
+++ b/src/policy.rs
@@ -205,6 +205,8 @@
     servers: Vec<Server>,
     by_id: BTreeMap<ServerId, usize>,
     conns: BTreeMap<RequestId, Conn>,
+    /// Where this node last held a connection of each group.
+    homes: BTreeMap<GroupId, usize>,
     /// The usual load of a connection, by class and over all.
     class_load: Vec<Mean>,
     usual_load: Mean,
@@ -236,6 +238,7 @@
             servers: Vec::new(),
             by_id: BTreeMap::new(),
             conns: BTreeMap::new(),
+            homes: BTreeMap::new(),
             class_load: vec![Mean::default(); classes],
             usual_load: Mean::default(),
             setup: Mean::default(),
@@ -444,6 +447,7 @@
             *n -= 1;
             if *n == 0 {
                 server.groups.remove(&group);
+                self.homes.insert(group, s);
             }
         }
     }
@@ -587,6 +591,12 @@
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
+        } else if let Some(home) = conn.request.group.and_then(|g| self.homes.get(&g).copied())
+            && from.contains(&home)
+            && room(&home)
+        {
+            // Other nodes' connections of the group are likely to be there still.
+            return Some(home);
         }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
