--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,6 +52,8 @@
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
 const GROUP_BAR: f64 = 1.5;
+/// Servers among which all nodes begin a group.
+const GROUP_CHOICES: usize = 3;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -597,6 +599,15 @@
         {
             // Other nodes' connections of the group are likely to be there still.
             return Some(home);
+        } else if let Some(group) = conn.request.group {
+            // All nodes begin a group anew on the same few servers, each on the lowest of these.
+            let warm = |s: &usize| self.warmth(now, *s) >= 1.0;
+            let mut few: Vec<usize> = from.iter().copied().filter(|s| room(s) && warm(s)).collect();
+            few.sort_by_key(|&s| std::cmp::Reverse(meeting_rank(group, self.servers[s].entry.id)));
+            few.truncate(GROUP_CHOICES);
+            if !few.is_empty() {
+                from = few;
+            }
         }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
@@ -844,3 +855,12 @@
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 }
+
+/// The rank of a server for a group: the same at every node, and unlike for other groups (rendezvous
+/// hashing, with the finaliser of SplitMix64).
+fn meeting_rank(group: GroupId, server: ServerId) -> u64 {
+    let mut x = group.0 ^ server.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
