--- a/crates/alderstile-drill/src/settings.rs
+++ b/crates/alderstile-drill/src/settings.rs
@@ -158,6 +158,7 @@
         };
         classes.push(ClassSettings {
             aim: keys.micros(&key("aim"))?,
+            worth: keys.number(&key("worth"))?,
             semantics,
             dedup_window: keys.micros(&key("window")).or_else(absent(Micros(0)))?,
             message_aim,
--- a/crates/alderstile-drill/tests/codec.rs
+++ b/crates/alderstile-drill/tests/codec.rs
@@ -9,7 +9,7 @@
 use alderstile::interface::*;
 
 const SETTINGS: &str = "balancers=2\nmy_zone=1\nclasses.count=1\nclasses.0.aim=300000\n\
-    classes.0.semantics=retryable\nclasses.0.window=5000000\nextra.message_aim=100000.0\n\
+    classes.0.worth=2.0\nclasses.0.semantics=retryable\nclasses.0.window=5000000\nextra.message_aim=100000.0\n\
     discovery=automatic\nallowed.max_attempts=3\nallowed.retry_after=true\n\
     allowed.max_retry_after=1000000\nallowed.probes=false\nallowed.may_tell=false\nweights=silent\n\
     obligations.cold=8500000\nobligations.cold_from=0.4\nobligations.fall_multiple=4.0\n\
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,6 +92,8 @@
 pub struct ClassSettings {
     /// A set-up within this time has its full worth.
     pub aim: Micros,
+    /// What serving it is worth, beside other classes.
+    pub worth: f64,
     /// Whether it may be repeated.
     pub semantics: Semantics,
     /// How long repeats are dropped, from the sending of the first attempt that may have run.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,8 +52,6 @@
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
 const GROUP_BAR: f64 = 1.5;
-/// Servers among which all nodes begin a group.
-const GROUP_CHOICES: usize = 3;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -81,6 +79,8 @@
 const INTAKE_STEP: f64 = 0.2;
 /// The longest gap between sends to a cold server, as a share of the warm-up: some intake is always due.
 const UNKNOWN_GAP: f64 = 0.25;
+/// The share of a full server's room that is kept for the classes worth most for their load.
+const RESERVED: f64 = 0.3;
 /// Delays above this are no delays: a minute.
 const DELAY_LIMIT_MS: f64 = 60_000.0;
 
@@ -207,8 +207,6 @@
     servers: Vec<Server>,
     by_id: BTreeMap<ServerId, usize>,
     conns: BTreeMap<RequestId, Conn>,
-    /// Where this node last held a connection of each group.
-    homes: BTreeMap<GroupId, usize>,
     /// The usual load of a connection, by class and over all.
     class_load: Vec<Mean>,
     usual_load: Mean,
@@ -240,7 +238,6 @@
             servers: Vec::new(),
             by_id: BTreeMap::new(),
             conns: BTreeMap::new(),
-            homes: BTreeMap::new(),
             class_load: vec![Mean::default(); classes],
             usual_load: Mean::default(),
             setup: Mean::default(),
@@ -449,7 +446,6 @@
             *n -= 1;
             if *n == 0 {
                 server.groups.remove(&group);
-                self.homes.insert(group, s);
             }
         }
     }
@@ -571,9 +567,7 @@
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
         let usable: Vec<usize> = (0..self.servers.len())
-            .filter(|&s| {
-                self.usable(now, s, conn) && !self.late(now, s) && self.record(s) < self.servers[s].limit
-            })
+            .filter(|&s| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn))
             .collect();
         let ready = self.servers.iter().filter(|s| s.ready()).count();
         let paused = self.servers.iter().filter(|s| s.ready() && now < s.paused_until).count();
@@ -593,21 +587,6 @@
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
-        } else if let Some(home) = conn.request.group.and_then(|g| self.homes.get(&g).copied())
-            && from.contains(&home)
-            && room(&home)
-        {
-            // Other nodes' connections of the group are likely to be there still.
-            return Some(home);
-        } else if let Some(group) = conn.request.group {
-            // All nodes begin a group anew on the same few servers, each on the lowest of these.
-            let warm = |s: &usize| self.warmth(now, *s) >= 1.0;
-            let mut few: Vec<usize> = from.iter().copied().filter(|s| room(s) && warm(s)).collect();
-            few.sort_by_key(|&s| std::cmp::Reverse(meeting_rank(group, self.servers[s].entry.id)));
-            few.truncate(GROUP_CHOICES);
-            if !few.is_empty() {
-                from = few;
-            }
         }
         let mut best = (f64::INFINITY, Vec::new());
         for s in from {
@@ -622,6 +601,22 @@
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 
+    /// Whether a server is below the record at which it was full. Where servers fill up, the last of the room
+    /// is kept for the classes that are worth most for their load; none is shut out.
+    fn has_room(&self, s: usize, conn: &Conn) -> bool {
+        let class = conn.request.class as usize;
+        let best = (0..self.class_load.len()).map(|c| self.worth_of_load(c)).fold(0.0, f64::max);
+        let claim = if best > 0.0 { self.worth_of_load(class) / best } else { 1.0 };
+        self.record(s) < self.servers[s].limit * (1.0 - RESERVED * (1.0 - claim))
+    }
+
+    /// What a class is worth for its usual load.
+    fn worth_of_load(&self, class: usize) -> f64 {
+        let load = self.class_load.get(class).and_then(|mean| mean.0).filter(|load| *load > 0.0);
+        let worth = self.set.classes.get(class).map_or(0.0, |c| c.worth);
+        load.map_or(0.0, |load| worth / load)
+    }
+
     /// What the record of a server counts for a landing. One that warms up counts at the others' mean at
     /// first and at its own load at last; a group that it doesn't hold yet is work that it would take on.
     fn landing(&self, now: Micros, s: usize, mean: f64, conn: &Conn) -> f64 {
@@ -855,12 +850,3 @@
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 }
-
-/// The rank of a server for a group: the same at every node, and unlike for other groups (rendezvous
-/// hashing, with the finaliser of SplitMix64).
-fn meeting_rank(group: GroupId, server: ServerId) -> u64 {
-    let mut x = group.0 ^ server.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -433,3 +433,32 @@
     node.ask(request(1));
     assert!(node.where_is(1).is_some(), "the list held goes on");
 }
+
+#[test]
+fn the_last_room_is_kept_for_the_class_worth_most_for_its_load() {
+    // Found on overloaded days: heavy connections of little worth took the room of many light ones.
+    let mut two = settings();
+    two.classes = vec![
+        ClassSettings { worth: 5.0, ..class(Semantics::Retryable) },
+        ClassSettings { worth: 1.0, ..class(Semantics::Retryable) },
+    ];
+    let mut node = Node::new(two, 1);
+    let heavy = |id| Request { class: 1, ..request(id) };
+    for id in 1..=20 {
+        node.ask(if id <= 10 { request(id) } else { heavy(id) });
+        node.establish(id);
+        told(&mut node, id, if id <= 10 { 10.0 } else { 100.0 });
+    }
+    late(&mut node, 1, 60.0);
+    node.pass(ms(1_100));
+    // Late messages showed the server full; once they are over there is some room again.
+    (13..=16).for_each(|id| node.end(id, Outcome::Ok));
+    node.pass(ms(1_000));
+    node.ask(heavy(30));
+    assert!(node.refused(30).is_some(), "not for heavy work of little worth");
+    node.ask(request(31));
+    assert_eq!(node.where_is(31), Some(1), "but for light work of much worth");
+    (17..=20).for_each(|id| node.end(id, Outcome::Ok));
+    node.ask(heavy(32));
+    assert_eq!(node.where_is(32), Some(1), "which leaves the other class its own part");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,7 +11,7 @@
 }
 
 pub fn class(semantics: Semantics) -> ClassSettings {
-    ClassSettings { aim: ms(300), semantics, dedup_window: ms(1_000), message_aim: Some(ms(100)) }
+    ClassSettings { aim: ms(300), worth: 1.0, semantics, dedup_window: ms(1_000), message_aim: Some(ms(100)) }
 }
 
 pub fn settings() -> Settings {
