--- a/src/policy.rs
+++ b/src/policy.rs
@@ -80,7 +80,7 @@
 /// The longest gap between sends to a cold server, as a share of the warm-up: some intake is always due.
 const UNKNOWN_GAP: f64 = 0.25;
 /// The share of a full server's room that is kept for the classes worth most for their load.
-const RESERVED: f64 = 0.3;
+const RESERVED: f64 = 0.5;
 /// Delays above this are no delays: a minute.
 const DELAY_LIMIT_MS: f64 = 60_000.0;
 
