--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,9 +49,9 @@
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
-/// A connection joins its group where that server is under this multiple of the mean: each further server
-/// that holds any of a group does the group's work again.
-const GROUP_BAR: f64 = 1.5;
+/// A connection joins its group where that server is no further above the mean than this many standard
+/// deviations of a random count: each further server that holds any of a group does its work again.
+const GROUP_BAR: f64 = 2.0;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -126,8 +126,8 @@
     /// The own record at which it was seen to be full, let out again a little each period.
     limit: f64,
     failures: u32,
-    /// It turned work away or could not be reached: nothing is sent before this.
-    barred_until: Micros,
+    /// It turned work away: nothing is sent before this.
+    full_until: Micros,
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
     next_send: Micros,
@@ -148,7 +148,7 @@
             delay: None,
             limit: f64::INFINITY,
             failures: 0,
-            barred_until: Micros(0),
+            full_until: Micros(0),
             paused_until: Micros(0),
             next_send: Micros(0),
             accepted: 0,
@@ -583,7 +583,11 @@
         }
         let mean = self.mean(now);
         let holds = |s: &usize| conn.request.group.is_some_and(|g| self.servers[*s].groups.contains_key(&g));
-        let room = |s: &usize| self.record(*s) <= GROUP_BAR * mean * self.power(*s);
+        let usual = self.usual_load.0.unwrap_or(1.0);
+        let room = |s: &usize| {
+            let fair = mean * self.power(*s);
+            self.record(*s) <= fair + GROUP_BAR * (fair * usual).sqrt()
+        };
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
@@ -629,9 +633,7 @@
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready()
-            || now < server.barred_until
-            || (self.warmth(now, s) < 1.0 && now < server.next_send)
+        if !server.ready() || now < server.full_until || (self.warmth(now, s) < 1.0 && now < server.next_send)
         {
             return false;
         }
@@ -710,7 +712,7 @@
         let server = &mut self.servers[s];
         if outcome == Outcome::Full {
             // It has no room, which says nothing of its health; what else it is sent now only costs it work.
-            server.barred_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
+            server.full_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
             return;
         }
         if outcome == Outcome::Reset && matches!(conn.stage, Stage::Open(_)) {
@@ -725,10 +727,6 @@
         let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
         server.failures += 1;
         server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
-        if outcome == Outcome::ConnectFailed {
-            // However many others fail too: the list tells of a lost zone or rack only seconds later.
-            server.barred_until = server.paused_until;
-        }
         let (id, failures) = (server.entry.id, server.failures);
         if failures == PAUSE_TOLD {
             self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
