--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,8 +25,8 @@
 /// The share of all connections that one period may move, rounded up: in a jam of many servers more would
 /// only chase connections from one to the next.
 const PERIOD_SHARE: f64 = 0.05;
-/// The reactive trigger: messages take this share of the shortest message aim.
-const LATE_SHARE: f64 = 0.5;
+/// The reactive trigger: messages take this share of the shortest message aim, from which on they are told.
+const LATE_SHARE: f64 = 1.0 / 3.0;
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
 /// Piled work that was told is to be gone after this long.
@@ -49,9 +49,9 @@
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
-/// A connection joins its group where that server is no further above the mean than this many standard
-/// deviations of a random count: each further server that holds any of a group does its work again.
-const GROUP_BAR: f64 = 2.0;
+/// A connection joins its group where that server is under this multiple of the mean: each further server
+/// that holds any of a group does the group's work again.
+const GROUP_BAR: f64 = 1.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -583,11 +583,7 @@
         }
         let mean = self.mean(now);
         let holds = |s: &usize| conn.request.group.is_some_and(|g| self.servers[*s].groups.contains_key(&g));
-        let usual = self.usual_load.0.unwrap_or(1.0);
-        let room = |s: &usize| {
-            let fair = mean * self.power(*s);
-            self.record(*s) <= fair + GROUP_BAR * (fair * usual).sqrt()
-        };
+        let room = |s: &usize| self.record(*s) <= GROUP_BAR * mean * self.power(*s);
         let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
         if !with_group.is_empty() {
             from = with_group;
