--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,7 +32,7 @@
 /// Piled work that was told is to be gone after this long.
 const DRAIN: Micros = Micros::from_millis(2_000);
 /// What a late server's load is brought to, as a share of what it was seen to manage.
-const MARGIN: f64 = 0.8;
+const MARGIN: f64 = 0.7;
 /// The lowest believed speed: a server is never written off for good.
 const SPEED_FLOOR: f64 = 0.1;
 /// What a period without late messages gives back.
