--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 const REACTIVE_SHARE: f64 = 0.5;
 /// The share of all connections that one period may move, rounded up: in a jam of many servers more would
 /// only chase connections from one to the next.
-const PERIOD_SHARE: f64 = 0.05;
+const PERIOD_SHARE: f64 = 0.1;
 /// The reactive trigger: messages take this share of the shortest message aim, from which on they are told.
 const LATE_SHARE: f64 = 1.0 / 3.0;
 /// A told delay counts this long; notes come once a second while messages are late.
