--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,9 +22,6 @@
 const MOVE_SHARE: f64 = 0.1;
 /// The same where the server's messages are late: those connections lose more by staying.
 const REACTIVE_SHARE: f64 = 0.5;
-/// The share of all connections that one period may move, rounded up: in a jam of many servers more would
-/// only chase connections from one to the next.
-const PERIOD_SHARE: f64 = 0.1;
 /// The reactive trigger: messages take this share of the shortest message aim, from which on they are told.
 const LATE_SHARE: f64 = 1.0 / 3.0;
 /// A told delay counts this long; notes come once a second while messages are late.
@@ -753,13 +750,10 @@
             server.limit *= LIMIT_GAIN;
         }
         let mean = self.mean(now);
-        // The latest first: all sheds of a period share one allowance.
-        let mut order: Vec<usize> = (0..self.servers.len()).filter(|&s| self.servers[s].ready()).collect();
-        order.sort_by_key(|&s| std::cmp::Reverse(self.servers[s].delay.map(|d| d.span)));
-        let held: usize = order.iter().map(|&s| self.servers[s].conns.len()).sum();
-        let mut allowance = (held as f64 * PERIOD_SHARE).ceil() as usize;
-        for s in order {
-            allowance -= self.shed(now, s, mean, allowance, out);
+        for s in 0..self.servers.len() {
+            if self.servers[s].ready() {
+                self.shed(now, s, mean, out);
+            }
         }
     }
 
@@ -788,9 +782,8 @@
         (record - manages * (1.0 - piled)).clamp(0.0, record)
     }
 
-    /// Sheds the excess of a server that has been above the bar for long enough, or is late. Returns how many
-    /// connections were moved.
-    fn shed(&mut self, now: Micros, s: usize, mean: f64, allowance: usize, out: &mut Vec<Action>) -> usize {
+    /// Sheds the excess of a server that has been above the bar for long enough, or is late.
+    fn shed(&mut self, now: Micros, s: usize, mean: f64, out: &mut Vec<Action>) {
         let reactive = self.reactive_excess(now, s, mean);
         let fair = mean * self.power(s);
         let record = self.record(s);
@@ -799,7 +792,7 @@
         let ordinary = if server.above >= PERIODS_ABOVE { record - fair } else { 0.0 };
         let mut excess = reactive.max(ordinary);
         if excess <= 0.0 {
-            return 0;
+            return;
         }
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
@@ -808,13 +801,12 @@
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         if excess <= lightest {
-            return 0;
+            return;
         }
         let count = open.len() as f64;
         let limit =
             if reactive > 0.0 { (count * REACTIVE_SHARE).ceil() } else { (count * MOVE_SHARE).floor() };
-        let mut moved = 0;
-        while moved < (limit as usize).min(allowance) {
+        for _ in 0..limit as usize {
             let Some(i) = self.closest(&open, excess) else { break };
             let (load, id) = open.swap_remove(i);
             if (excess - load).abs() >= excess.abs() {
@@ -825,9 +817,7 @@
                 conn.stage = Stage::Leaving(s);
                 out.push(Action::Move(id));
             }
-            moved += 1;
         }
-        moved
     }
 
     /// What moving a connection takes off a server; nothing where its group stays behind and would begin
