--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,12 +57,6 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
-/// First attempts are held back once attempts exceed this multiple of those that succeed.
-const THROTTLE: f64 = 2.0;
-/// Failures that prove nothing yet.
-const THROTTLE_FREE: f64 = 5.0;
-/// What a period leaves of the counts behind that.
-const THROTTLE_KEEP: f64 = 0.85;
 /// The weight of the newest value in running means.
 const NEWEST: f64 = 0.1;
 /// The first wait before the list is asked for again; doubled after each failure.
@@ -212,9 +206,6 @@
     /// Connections that a warm server takes from this node in a second; nothing at first.
     intake: f64,
     retry_tokens: f64,
-    /// Recent attempts and those that became connections; both fade.
-    tried: f64,
-    succeeded: f64,
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
@@ -240,8 +231,6 @@
             setup: Mean::default(),
             intake: 0.0,
             retry_tokens: RETRY_CAP,
-            tried: 0.0,
-            succeeded: 0.0,
             ask_failures: 0,
             asking: false,
             log_left: LOG_LINES,
@@ -494,30 +483,18 @@
     fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
         let conn = Conn::new(now, request);
-        if self.throttled() {
-            return self.give_up(&conn, self.set.max_retry_after, out);
-        }
         self.attempt(now, conn, out);
     }
 
-    /// Guards a shared store that has slowed down: when set-ups fail at most servers, trying all the same
-    /// keeps the store's queue full, and what leaves it comes too late. The more fail, the more new requests
-    /// are turned away unsent (the adaptive throttling of the client side).
-    fn throttled(&mut self) -> bool {
-        let over = (self.tried - THROTTLE * self.succeeded - THROTTLE_FREE) / (self.tried + 1.0);
-        over > 0.0 && self.rng.random::<f64>() < over
-    }
-
     /// Sends a request to a server, or answers it at once where that cannot be.
     fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
         let more = conn.attempts < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
-            return self.give_up(&conn, self.aim(&conn), out);
+            return self.give_up(&conn, out);
         };
         conn.stage = Stage::Trying(s);
         conn.attempts += 1;
-        self.tried += 1.0;
         conn.sent = now;
         conn.tried.push(s);
         let gap = self.cold_gap(now, s);
@@ -545,7 +522,7 @@
     }
 
     /// The final answer for a request that is given up: at once, so that the client can come again.
-    fn give_up(&mut self, conn: &Conn, wait: Micros, out: &mut Vec<Action>) {
+    fn give_up(&mut self, conn: &Conn, out: &mut Vec<Action>) {
         let class = self.set.classes.get(conn.request.class as usize);
         let harmless = match class.map(|c| c.semantics) {
             Some(Semantics::Retryable | Semantics::Dedup(DedupGroup::All)) => true,
@@ -555,7 +532,7 @@
             return out.push(Action::Fail(conn.request.id));
         }
         // Spread out, or those turned away together would come back together.
-        let wait = wait.min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
+        let wait = self.aim(conn).min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
@@ -654,7 +631,6 @@
         conn.ran.get_or_insert((s, conn.sent));
         let server = &mut self.servers[s];
         server.accepted += 1;
-        self.succeeded += 1.0;
         self.setup.add(latency.0 as f64);
     }
 
@@ -684,7 +660,7 @@
         }
         conn.stage = Stage::Held;
         if self.retry_tokens < 1.0 {
-            return self.give_up(&conn, self.aim(&conn), out);
+            return self.give_up(&conn, out);
         }
         self.retry_tokens -= 1.0;
         self.attempt(now, conn, out);
@@ -731,8 +707,6 @@
     fn period(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
         self.log_left = LOG_LINES;
-        self.tried *= THROTTLE_KEEP;
-        self.succeeded *= THROTTLE_KEEP;
         let warm: Vec<usize> = (0..self.servers.len())
             .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
             .collect();
