--- a/src/policy.rs
+++ b/src/policy.rs
@@ -532,7 +532,7 @@
             return out.push(Action::Fail(conn.request.id));
         }
         // Spread out, or those turned away together would come back together.
-        let wait = self.aim(conn).min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
+        let wait = self.set.max_retry_after.scale(0.5 + 0.5 * self.rng.random::<f64>());
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
