--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,6 +57,10 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
+/// Set-ups that may be out at once at first; the number follows what succeeds.
+const SETUPS_FIRST: f64 = 32.0;
+/// What a failed set-up leaves of that number.
+const SETUPS_CUT: f64 = 0.8;
 /// The weight of the newest value in running means.
 const NEWEST: f64 = 0.1;
 /// The first wait before the list is asked for again; doubled after each failure.
@@ -206,6 +210,9 @@
     /// Connections that a warm server takes from this node in a second; nothing at first.
     intake: f64,
     retry_tokens: f64,
+    /// Set-ups that are out, and how many may be.
+    setups_out: u32,
+    setups_allowed: f64,
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
@@ -231,6 +238,8 @@
             setup: Mean::default(),
             intake: 0.0,
             retry_tokens: RETRY_CAP,
+            setups_out: 0,
+            setups_allowed: SETUPS_FIRST,
             ask_failures: 0,
             asking: false,
             log_left: LOG_LINES,
@@ -396,6 +405,7 @@
     }
 
     fn enter(&mut self, s: usize, conn: &Conn) {
+        self.setups_out += u32::from(matches!(conn.stage, Stage::Trying(_)));
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
         match conn.told {
@@ -413,6 +423,7 @@
 
     fn unrecord(&mut self, conn: &Conn) {
         let (Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s)) = conn.stage else { return };
+        self.setups_out -= u32::from(matches!(conn.stage, Stage::Trying(_)));
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
         match conn.told {
@@ -489,7 +500,10 @@
     /// Sends a request to a server, or answers it at once where that cannot be.
     fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
-        let more = conn.attempts < self.set.max_attempts && now < conn.deadline;
+        // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
+        // what leaves that comes too late (additive increase, multiplicative decrease).
+        let open = f64::from(self.setups_out) < self.setups_allowed;
+        let more = open && conn.attempts < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
         };
@@ -532,7 +546,7 @@
             return out.push(Action::Fail(conn.request.id));
         }
         // Spread out, or those turned away together would come back together.
-        let wait = self.set.max_retry_after.scale(0.5 + 0.5 * self.rng.random::<f64>());
+        let wait = self.aim(conn).min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
@@ -628,6 +642,8 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
+        self.setups_out -= 1;
+        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(SETUPS_FIRST);
         conn.ran.get_or_insert((s, conn.sent));
         let server = &mut self.servers[s];
         server.accepted += 1;
@@ -645,6 +661,9 @@
     ) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.unrecord(&conn);
+        if matches!(outcome, Outcome::Error | Outcome::Timeout) && matches!(conn.stage, Stage::Trying(_)) {
+            self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
+        }
         if outcome == Outcome::Timeout {
             // It would have taken longer than this: at least as good as a sample.
             self.setup.add(2.0 * (now - conn.sent).0 as f64);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -278,6 +278,30 @@
     assert!(sends <= 60 + 10 + 12, "{sends} attempts: one each, ten saved up and a fifth more");
 }
 
+#[test]
+fn set_ups_out_at_once_follow_what_succeeds() {
+    // Found on days with a slow session store: its queue was kept full and nothing came out in time.
+    let mut node = Node::new(settings(), 20);
+    let out = |node: &mut Node, first: u64| {
+        (first..first + 60).for_each(|id| node.ask(request(id)));
+        (first..first + 60).filter(|&id| node.where_is(id).is_some()).count()
+    };
+    assert_eq!(out(&mut node, 1), 32, "at first");
+    (1..=60).for_each(|id| node.end(id, Outcome::Timeout));
+    (1..=60).for_each(|id| node.client_gone(id));
+    node.pass(ms(30_000));
+    let after_failures = out(&mut node, 101);
+    assert!((1..=4).contains(&after_failures), "{after_failures} after failures");
+    for id in 101..=160 {
+        node.establish(id);
+    }
+    for id in 200..400 {
+        node.ask(request(id));
+        node.establish(id);
+    }
+    assert!(out(&mut node, 500) > 10, "more again after successes");
+}
+
 #[test]
 fn a_slow_store_stretches_the_time_out() {
     let mut node = Node::new(settings(), 4);
