--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,8 +121,8 @@
     /// The own record at which it was seen to be full, let out again a little each period.
     limit: f64,
     failures: u32,
-    /// It turned work away: nothing is sent before this.
-    full_until: Micros,
+    /// It turned work away or could not be reached: nothing is sent before this.
+    barred_until: Micros,
     paused_until: Micros,
     /// While cold: not before this is it sent anything.
     next_send: Micros,
@@ -143,7 +143,7 @@
             delay: None,
             limit: f64::INFINITY,
             failures: 0,
-            full_until: Micros(0),
+            barred_until: Micros(0),
             paused_until: Micros(0),
             next_send: Micros(0),
             accepted: 0,
@@ -617,7 +617,9 @@
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready() || now < server.full_until || (self.warmth(now, s) < 1.0 && now < server.next_send)
+        if !server.ready()
+            || now < server.barred_until
+            || (self.warmth(now, s) < 1.0 && now < server.next_send)
         {
             return false;
         }
@@ -700,23 +702,28 @@
         let server = &mut self.servers[s];
         if outcome == Outcome::Full {
             // It has no room, which says nothing of its health; what else it is sent now only costs it work.
-            server.full_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
+            server.barred_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
             return;
         }
         if outcome == Outcome::Reset && matches!(conn.stage, Stage::Open(_)) {
             server.accepted -= 1;
         }
-        if now < server.paused_until {
-            return;
+        let paused = now < server.paused_until;
+        if !paused {
+            if now > server.paused_until + PAUSE_FORGOTTEN {
+                server.failures = 0;
+            }
+            let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
+            server.failures += 1;
+            server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
         }
-        if now > server.paused_until + PAUSE_FORGOTTEN {
-            server.failures = 0;
+        if outcome == Outcome::ConnectFailed {
+            // However many others are paused: the list tells of lost servers only seconds later, and those
+            // that are left may all be late.
+            server.barred_until = server.paused_until;
         }
-        let pause = PAUSE_FIRST.scale(f64::from(1 << server.failures.min(PAUSE_DOUBLINGS)));
-        server.failures += 1;
-        server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
         let (id, failures) = (server.entry.id, server.failures);
-        if failures == PAUSE_TOLD {
+        if !paused && failures == PAUSE_TOLD {
             self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -227,6 +227,26 @@
     assert_eq!(node.where_is(3), Some(1));
 }
 
+#[test]
+fn a_lost_server_is_barred_even_where_those_left_are_late() {
+    // Found on the third sofia-chat incident: thousands of attempts at lost servers while the rest were late.
+    let mut node = Node::new(settings(), 3);
+    node.open(1, 1);
+    node.open(2, 2);
+    node.end(1, Outcome::Reset);
+    node.end(2, Outcome::Reset);
+    late(&mut node, 3, 80.0);
+    let mut attempts = 0;
+    for id in 10..40 {
+        node.ask(request(id));
+        while node.where_is(id).is_some() {
+            attempts += 1;
+            node.end(id, Outcome::ConnectFailed);
+        }
+    }
+    assert_eq!(attempts, 2, "one at each");
+}
+
 #[test]
 fn a_connection_joins_its_group_while_there_is_room() {
     // Found on days with groups: each server that holds any of a group does the group's work.
