--- a/src/policy.rs
+++ b/src/policy.rs
@@ -800,7 +800,8 @@
             .filter_map(|(&id, conn)| Some((self.freed(s, conn)?, id)))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
-        if excess <= lightest {
+        // A late server may lose its last connection too.
+        if excess < lightest || (excess == lightest && reactive == 0.0) {
             return;
         }
         let count = open.len() as f64;
