--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,6 +49,8 @@
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
 const GROUP_BAR: f64 = 1.5;
+/// A late server that must lose more than this share of its load loses whole groups too.
+const GROUP_LEAVES: f64 = 0.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -797,7 +799,7 @@
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
             .filter(|(_, conn)| matches!(conn.stage, Stage::Open(_)))
-            .filter_map(|(&id, conn)| Some((self.freed(s, conn)?, id)))
+            .filter_map(|(&id, conn)| Some((self.freed(s, conn, excess > GROUP_LEAVES * record)?, id)))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         // A late server may lose its last connection too.
@@ -823,13 +825,13 @@
 
     /// What moving a connection takes off a server; nothing where its group stays behind and would begin
     /// anew elsewhere with more work than the connection's own.
-    fn freed(&self, s: usize, conn: &Conn) -> Option<f64> {
+    fn freed(&self, s: usize, conn: &Conn, all_leave: bool) -> Option<f64> {
         let load = self.load_of(conn);
         let usual = self.usual_load.0.unwrap_or(1.0);
         match conn.request.group.and_then(|group| self.servers[s].groups.get(&group)) {
             None => Some(load),
             Some(1) => Some(load + usual),
-            Some(_) => (load > usual).then_some(load),
+            Some(_) => (all_leave || load > usual).then_some(load),
         }
     }
 
