--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! a server that stands above this node's mean for several periods sheds its excess. `docs/design.md` says
 //! where that comes from and when each exception acts.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{RngExt, SeedableRng};
@@ -49,8 +50,6 @@
 /// A connection joins its group where that server is under this multiple of the mean: each further server
 /// that holds any of a group does the group's work again.
 const GROUP_BAR: f64 = 1.5;
-/// A late server that must lose more than this share of its load loses whole groups too.
-const GROUP_LEAVES: f64 = 0.5;
 /// The share of the aim that an attempt may take before another server is tried.
 const ATTEMPT_SHARE: f64 = 0.5;
 /// An attempt is not given up before this multiple of the usual set-up time.
@@ -69,7 +68,6 @@
 const ASK_AGAIN: Micros = Micros::from_millis(500);
 /// Loads above this are no loads: about a thousand cores' work.
 const LOAD_LIMIT: f64 = 1e9;
-
 /// What a period gives back of the load at which a server was full.
 const LIMIT_GAIN: f64 = 1.05;
 /// A period's intake counts up to twice the usual and this many connections a second more.
@@ -169,6 +167,19 @@
     Leaving(usize),
 }
 
+impl Stage {
+    fn server(self) -> Option<usize> {
+        match self {
+            Stage::Held => None,
+            Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s) => Some(s),
+        }
+    }
+
+    fn trying(self) -> bool {
+        matches!(self, Stage::Trying(_))
+    }
+}
+
 struct Conn {
     request: Request,
     deadline: Micros,
@@ -274,7 +285,7 @@
             Event::DelayTold(server, ms) => self.delay_told(now, server, ms),
             Event::ClientGone(id) => {
                 if let Some(conn) = self.conns.remove(&id) {
-                    self.unrecord(&conn);
+                    self.leave(&conn);
                 }
             }
             Event::Timer(TOKEN_PERIOD) => self.period(now, actions),
@@ -375,13 +386,18 @@
     /// and the shared work of each group held, which is taken to be a usual connection's.
     fn record(&self, s: usize) -> f64 {
         let server = &self.servers[s];
-        let usual = self.usual_load.0.unwrap_or(1.0);
+        let usual = self.usual();
         let untold: f64 = (server.untold.iter().zip(&self.class_load))
             .map(|(&n, mean)| f64::from(n) * mean.0.unwrap_or(usual))
             .sum();
         server.told_sum + untold + usual * server.groups.len() as f64
     }
 
+    /// The usual load of a connection; before any was told, each counts as one.
+    fn usual(&self) -> f64 {
+        self.usual_load.0.unwrap_or(1.0)
+    }
+
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
     fn power(&self, s: usize) -> f64 {
         let server = &self.servers[s];
@@ -394,57 +410,57 @@
 
     fn load_of(&self, conn: &Conn) -> f64 {
         let usual = || self.class_load.get(conn.request.class as usize).and_then(|mean| mean.0);
-        conn.told.or_else(usual).or(self.usual_load.0).unwrap_or(1.0)
+        conn.told.or_else(usual).unwrap_or(self.usual())
+    }
+
+    /// The ready servers that are warm.
+    fn warm(&self, now: Micros) -> Vec<usize> {
+        (0..self.servers.len()).filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0).collect()
     }
 
     /// The mean load for each unit of power over ready servers that are warm.
     fn mean(&self, now: Micros) -> f64 {
-        let warm = |s: &usize| self.servers[*s].ready() && self.warmth(now, *s) >= 1.0;
-        let (load, power) = (0..self.servers.len())
-            .filter(warm)
+        let (load, power) = (self.warm(now).into_iter())
             .fold((0.0, 0.0), |(load, power), s| (load + self.record(s), power + self.power(s)));
         if power > 0.0 { load / power } else { 0.0 }
     }
 
-    fn enter(&mut self, s: usize, conn: &Conn) {
-        self.setups_out += u32::from(matches!(conn.stage, Stage::Trying(_)));
+    /// Takes a connection, or one that is to become one, into the sums of its server.
+    fn enter(&mut self, conn: &Conn) {
+        let Some(s) = conn.stage.server() else { return };
+        self.setups_out += u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
-        match conn.told {
-            Some(load) => server.told_sum += load,
-            None => {
-                if let Some(n) = server.untold.get_mut(conn.request.class as usize) {
-                    *n += 1;
-                }
-            }
+        match (conn.told, server.untold.get_mut(conn.request.class as usize)) {
+            (Some(load), _) => server.told_sum += load,
+            (None, Some(n)) => *n += 1,
+            (None, None) => {}
         }
         if let Some(group) = conn.request.group {
             *server.groups.entry(group).or_insert(0) += 1;
         }
     }
 
-    fn unrecord(&mut self, conn: &Conn) {
-        let (Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s)) = conn.stage else { return };
-        self.setups_out -= u32::from(matches!(conn.stage, Stage::Trying(_)));
+    /// Takes it out again. An empty server's sum is nothing, whatever rounding has left of it.
+    fn leave(&mut self, conn: &Conn) {
+        let Some(s) = conn.stage.server() else { return };
+        self.setups_out -= u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
-        match conn.told {
-            Some(load) => server.told_sum = (server.told_sum - load).max(0.0),
-            None => {
-                if let Some(n) = server.untold.get_mut(conn.request.class as usize) {
-                    *n = n.saturating_sub(1);
-                }
-            }
+        match (conn.told, server.untold.get_mut(conn.request.class as usize)) {
+            (Some(load), _) => server.told_sum = (server.told_sum - load).max(0.0),
+            (None, Some(n)) => *n -= 1,
+            (None, None) => {}
         }
         if server.conns.is_empty() {
             server.told_sum = 0.0;
         }
         if let Some(group) = conn.request.group
-            && let Some(n) = server.groups.get_mut(&group)
+            && let Entry::Occupied(mut held) = server.groups.entry(group)
         {
-            *n -= 1;
-            if *n == 0 {
-                server.groups.remove(&group);
+            *held.get_mut() -= 1;
+            if *held.get() == 0 {
+                held.remove();
             }
         }
     }
@@ -461,10 +477,9 @@
                 mean.add(load);
             }
         }
-        let (Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s)) = conn.stage else { return };
-        self.unrecord(&conn);
+        self.leave(&conn);
         conn.told = Some(load);
-        self.enter(s, &conn);
+        self.enter(&conn);
         self.conns.insert(id, conn);
     }
 
@@ -487,7 +502,7 @@
         let Some(&s) = self.by_id.get(&server) else { return };
         let mut conn = Conn::new(now, request);
         conn.stage = Stage::Open(s);
-        self.enter(s, &conn);
+        self.enter(&conn);
         self.conns.insert(request.id, conn);
     }
 
@@ -515,7 +530,7 @@
         conn.tried.push(s);
         let gap = self.cold_gap(now, s);
         self.servers[s].next_send = now + gap;
-        self.enter(s, &conn);
+        self.enter(&conn);
         out.push(Action::Send(id, self.servers[s].entry.id, self.time_out(now, &conn)));
         self.conns.insert(id, conn);
     }
@@ -565,11 +580,10 @@
         let healthy = |s: &usize| !heed_pauses || now >= self.servers[*s].paused_until;
         let fresh = |s: &usize| !conn.tried.contains(s);
         let mut from: Vec<usize> = usable.iter().copied().filter(|s| healthy(s) && fresh(s)).collect();
-        if from.is_empty() {
-            from = usable.iter().copied().filter(|s| fresh(s)).collect();
-        }
-        if from.is_empty() {
-            from = usable;
+        for wider in [usable.iter().copied().filter(fresh).collect(), usable.clone()] {
+            if from.is_empty() {
+                from = wider;
+            }
         }
         let mean = self.mean(now);
         let holds = |s: &usize| conn.request.group.is_some_and(|g| self.servers[*s].groups.contains_key(&g));
@@ -578,16 +592,14 @@
         if !with_group.is_empty() {
             from = with_group;
         }
-        let mut best = (f64::INFINITY, Vec::new());
-        for s in from {
-            let after = self.landing(now, s, mean, conn);
-            if after < best.0 {
-                best = (after, vec![s]);
-            } else if after == best.0 {
-                best.1.push(s);
-            }
-        }
-        let ties = best.1;
+        let after: Vec<f64> = from.iter().map(|&s| self.landing(now, s, mean, conn)).collect();
+        self.lowest(&after).map(|i| from[i])
+    }
+
+    /// Where the lowest value stands; chance decides between equals.
+    fn lowest(&mut self, values: &[f64]) -> Option<usize> {
+        let lowest = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let ties: Vec<usize> = (0..values.len()).filter(|&i| values[i] == lowest).collect();
         (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
     }
 
@@ -610,7 +622,7 @@
     /// What the record of a server counts for a landing. One that warms up counts at the others' mean at
     /// first and at its own load at last; a group that it doesn't hold yet is work that it would take on.
     fn landing(&self, now: Micros, s: usize, mean: f64, conn: &Conn) -> f64 {
-        let usual = self.usual_load.0.unwrap_or(1.0);
+        let usual = self.usual();
         let new_group = conn.request.group.is_some_and(|g| !self.servers[s].groups.contains_key(&g));
         let group = if new_group { usual } else { 0.0 };
         (self.record(s) + group) / self.power(s) + mean * (1.0 - self.warmth(now, s))
@@ -664,8 +676,8 @@
         out: &mut Vec<Action>,
     ) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
-        self.unrecord(&conn);
-        if matches!(outcome, Outcome::Error | Outcome::Timeout) && matches!(conn.stage, Stage::Trying(_)) {
+        self.leave(&conn);
+        if matches!(outcome, Outcome::Error | Outcome::Timeout) && conn.stage.trying() {
             self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
         }
         if outcome == Outcome::Timeout {
@@ -693,12 +705,8 @@
     /// doubles a pause in sending to it until it has kept clear of failures for a while. A set-up that
     /// succeeds proves little: a server that takes connections and then drops them would draw them all.
     fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome, out: &mut Vec<Action>) {
-        let failed = match outcome {
-            Outcome::Full | Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => true,
-            Outcome::Reset => true,
-            Outcome::Ok | Outcome::Cancelled | Outcome::Moot => false,
-        };
-        if !failed || matches!(conn.stage, Stage::Leaving(_)) {
+        let harmless = matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
+        if harmless || matches!(conn.stage, Stage::Leaving(_)) {
             return;
         }
         let server = &mut self.servers[s];
@@ -735,9 +743,7 @@
     fn period(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
         self.log_left = LOG_LINES;
-        let warm: Vec<usize> = (0..self.servers.len())
-            .filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0)
-            .collect();
+        let warm = self.warm(now);
         let accepted: i32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
         if !warm.is_empty() {
             // Less what broke, and never far above what is usual: in a storm the same clients are accepted
@@ -773,7 +779,7 @@
         let busy = (1.0 + delay.growth).clamp(0.5, 10.0);
         let manages = MARGIN * record / busy;
         // An empty one may take one connection, or it would never be let out again.
-        let usual = self.usual_load.0.unwrap_or(1.0);
+        let usual = self.usual();
         self.servers[s].limit = self.servers[s].limit.min(manages.max(usual));
         let size = self.power(s) / self.servers[s].speed;
         if mean > 0.0 {
@@ -799,7 +805,7 @@
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
             .filter(|(_, conn)| matches!(conn.stage, Stage::Open(_)))
-            .filter_map(|(&id, conn)| Some((self.freed(s, conn, excess > GROUP_LEAVES * record)?, id)))
+            .filter_map(|(&id, conn)| Some((self.freed(s, conn)?, id)))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         // A late server may lose its last connection too.
@@ -810,11 +816,10 @@
         let limit =
             if reactive > 0.0 { (count * REACTIVE_SHARE).ceil() } else { (count * MOVE_SHARE).floor() };
         for _ in 0..limit as usize {
-            let Some(i) = self.closest(&open, excess) else { break };
+            // The connection that comes closest to what is still to go, while that brings it closer.
+            let gaps: Vec<f64> = open.iter().map(|(load, _)| (load - excess).abs()).collect();
+            let Some(i) = self.lowest(&gaps).filter(|&i| gaps[i] < excess.abs()) else { break };
             let (load, id) = open.swap_remove(i);
-            if (excess - load).abs() >= excess.abs() {
-                break;
-            }
             excess -= load;
             if let Some(conn) = self.conns.get_mut(&id) {
                 conn.stage = Stage::Leaving(s);
@@ -825,21 +830,13 @@
 
     /// What moving a connection takes off a server; nothing where its group stays behind and would begin
     /// anew elsewhere with more work than the connection's own.
-    fn freed(&self, s: usize, conn: &Conn, all_leave: bool) -> Option<f64> {
+    fn freed(&self, s: usize, conn: &Conn) -> Option<f64> {
         let load = self.load_of(conn);
-        let usual = self.usual_load.0.unwrap_or(1.0);
+        let usual = self.usual();
         match conn.request.group.and_then(|group| self.servers[s].groups.get(&group)) {
             None => Some(load),
             Some(1) => Some(load + usual),
-            Some(_) => (all_leave || load > usual).then_some(load),
+            Some(_) => (load > usual).then_some(load),
         }
     }
-
-    /// The connection whose load is closest to the excess; chance decides between equals.
-    fn closest(&mut self, open: &[(f64, RequestId)], excess: f64) -> Option<usize> {
-        let gap = |i: usize| (open[i].0 - excess).abs();
-        let best = (0..open.len()).map(gap).fold(f64::INFINITY, f64::min);
-        let ties: Vec<usize> = (0..open.len()).filter(|&i| gap(i) == best).collect();
-        (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
-    }
 }
