--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,8 @@
 const LATE_SHARE: f64 = 1.0 / 3.0;
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
+/// The same for a server that holds none of this node's connections.
+const DELAY_UNSEEN: Micros = Micros::from_millis(6_000);
 /// Piled work that was told is to be gone after this long.
 const DRAIN: Micros = Micros::from_millis(1_000);
 /// What a late server's load is brought to, as a share of what it was seen to manage.
@@ -753,7 +755,10 @@
 
     /// Whether messages at this server are late now.
     fn late(&self, now: Micros, s: usize) -> bool {
-        self.servers[s].delay.is_some_and(|d| d.span >= self.late_at && now < d.at + DELAY_FRESH)
+        // Where this node holds nothing no note can tell that it is over, and trying costs a client.
+        let server = &self.servers[s];
+        let fresh = if server.conns.is_empty() { DELAY_UNSEEN } else { DELAY_FRESH };
+        server.delay.is_some_and(|d| d.span >= self.late_at && now < d.at + fresh)
     }
 
     /// The reactive trigger. A queue that grows tells how far a server is over what it can do, and its length
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -147,7 +147,7 @@
     late(&mut node, 2, 80.0);
     node.ask(request(3));
     assert!(node.refused(3).is_some(), "where all are late the fleet is full");
-    node.pass(ms(2_000));
+    node.pass(ms(6_100));
     node.ask(request(4));
     assert!(node.where_is(4).is_some(), "an old note no longer counts");
 }
@@ -498,3 +498,19 @@
     node.ask(heavy(32));
     assert_eq!(node.where_is(32), Some(1), "which leaves the other class its own part");
 }
+
+#[test]
+fn a_late_server_that_holds_nothing_is_not_tried_at_once() {
+    // Found on the third bogota-central incident: eleven nodes each spent a client on finding a jam again.
+    let mut node = Node::new(settings(), 2);
+    node.open(1, 1);
+    node.open(2, 2);
+    late(&mut node, 1, 80.0);
+    node.end(1, Outcome::Ok);
+    node.pass(ms(2_000));
+    node.ask(request(3));
+    assert_eq!(node.where_is(3), Some(2), "no note can tell that it is over");
+    node.pass(ms(4_100));
+    node.ask(request(4));
+    assert_eq!(node.where_is(4), Some(1));
+}
