--- a/src/policy.rs
+++ b/src/policy.rs
@@ -516,7 +516,9 @@
         let id = conn.request.id;
         // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
         // what leaves that comes too late (additive increase, multiplicative decrease).
-        let open = f64::from(self.setups_out) < self.setups_allowed;
+        // Below one they are let out by chance, or many nodes with one each would still be too many.
+        let chance = self.rng.random::<f64>();
+        let open = f64::from(self.setups_out) < self.setups_allowed && chance < self.setups_allowed;
         let more = open && conn.attempts < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
@@ -653,7 +655,7 @@
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
         self.setups_out -= 1;
-        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(SETUPS_FIRST);
+        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed.max(1.0)).min(SETUPS_FIRST);
         conn.ran.get_or_insert((s, conn.sent));
         self.servers[s].accepted += 1;
     }
@@ -670,7 +672,7 @@
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.leave(&conn);
         if matches!(outcome, Outcome::Error | Outcome::Timeout) && conn.stage.trying() {
-            self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
+            self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0 / f64::from(self.set.balancers));
         }
         if let Some(&s) = self.by_id.get(&server) {
             self.judge(now, s, &conn, outcome, out);
