--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,6 +121,8 @@
     /// The own record at which it was seen to be full, let out again a little each period.
     limit: f64,
     failures: u32,
+    /// It cannot be reached from here, until a set-up succeeds.
+    lost: bool,
     /// It turned work away or could not be reached: nothing is sent before this.
     barred_until: Micros,
     paused_until: Micros,
@@ -143,6 +145,7 @@
             delay: None,
             limit: f64::INFINITY,
             failures: 0,
+            lost: false,
             barred_until: Micros(0),
             paused_until: Micros(0),
             next_send: Micros(0),
@@ -347,7 +350,7 @@
             let gap = self.cold_gap(now, s).scale(self.rng.random::<f64>());
             let server = &mut self.servers[s];
             (server.speed, server.delay, server.failures, server.above) = (1.0, None, 0, 0);
-            server.limit = f64::INFINITY;
+            (server.limit, server.lost) = (f64::INFINITY, false);
             server.paused_until = Micros(0);
             server.next_send = now + gap;
         }
@@ -516,9 +519,7 @@
         let id = conn.request.id;
         // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
         // what leaves that comes too late (additive increase, multiplicative decrease).
-        // Below one they are let out by chance, or many nodes with one each would still be too many.
-        let chance = self.rng.random::<f64>();
-        let open = f64::from(self.setups_out) < self.setups_allowed && chance < self.setups_allowed;
+        let open = f64::from(self.setups_out) < self.setups_allowed;
         let more = open && conn.attempts < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
@@ -655,9 +656,10 @@
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
         self.setups_out -= 1;
-        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed.max(1.0)).min(SETUPS_FIRST);
+        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(SETUPS_FIRST);
         conn.ran.get_or_insert((s, conn.sent));
         self.servers[s].accepted += 1;
+        self.servers[s].lost = false;
     }
 
     fn ended(
@@ -671,10 +673,11 @@
     ) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.leave(&conn);
-        if matches!(outcome, Outcome::Error | Outcome::Timeout) && conn.stage.trying() {
-            self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0 / f64::from(self.set.balancers));
-        }
         if let Some(&s) = self.by_id.get(&server) {
+            let failed = matches!(outcome, Outcome::Error | Outcome::Timeout);
+            if failed && conn.stage.trying() && !self.servers[s].lost {
+                self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
+            }
             self.judge(now, s, &conn, outcome, out);
             if outcome.may_have_run() {
                 conn.ran.get_or_insert((s, conn.sent));
@@ -699,6 +702,8 @@
         if harmless || matches!(conn.stage, Stage::Leaving(_)) {
             return;
         }
+        let holds = |id: &RequestId| self.conns.get(id).is_some_and(|conn| !conn.stage.trying());
+        let dropped_all = outcome == Outcome::Reset && !self.servers[s].conns.iter().any(holds);
         let server = &mut self.servers[s];
         if outcome == Outcome::Full {
             // It has no room, which says nothing of its health; what else it is sent now only costs it work.
@@ -717,9 +722,10 @@
             server.failures += 1;
             server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
         }
-        if outcome == Outcome::ConnectFailed {
-            // However many others are paused: the list tells of lost servers only seconds later, and those
-            // that are left may all be late.
+        // However many others are paused: the list tells of lost servers only seconds later and of a cut link
+        // never, and those that can be reached may all be late or fuller than these.
+        server.lost |= outcome == Outcome::ConnectFailed || dropped_all;
+        if server.lost {
             server.barred_until = server.paused_until;
         }
         let (id, failures) = (server.entry.id, server.failures);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -233,6 +233,8 @@
     let mut node = Node::new(settings(), 3);
     node.open(1, 1);
     node.open(2, 2);
+    node.open(3, 1);
+    node.open(4, 2);
     node.end(1, Outcome::Reset);
     node.end(2, Outcome::Reset);
     late(&mut node, 3, 80.0);
@@ -247,6 +249,31 @@
     assert_eq!(attempts, 2, "one at each");
 }
 
+#[test]
+fn a_node_cut_off_from_most_servers_uses_those_that_it_can_reach() {
+    // Found on the fourth sofia-chat incident: a zone was cut off, its node lost all connections but those to its
+    // own zone's servers, and sent every new one to the emptied, unreachable ones.
+    let mut node = Node::new(settings(), 5);
+    for id in 1..=20 {
+        node.open(id, 1 + id % 5);
+    }
+    for id in (1..=20).filter(|id| id % 5 != 4) {
+        node.end(id, Outcome::Reset);
+    }
+    let mut landed = 0;
+    for id in 100..160 {
+        node.ask(request(id));
+        if node.where_is(id) == Some(5) {
+            node.establish(id);
+            landed += 1;
+        } else {
+            node.end(id, Outcome::Timeout);
+            node.client_gone(id);
+        }
+    }
+    assert!(landed >= 50, "{landed} of 60 found the only server in reach");
+}
+
 #[test]
 fn a_connection_joins_its_group_while_there_is_room() {
     // Found on days with groups: each server that holds any of a group does the group's work.
@@ -514,3 +541,13 @@
     node.ask(request(4));
     assert_eq!(node.where_is(4), Some(1));
 }
+
+#[test]
+fn a_late_server_may_lose_its_last_connection() {
+    // Found on a day with slow servers: single connections stayed on them for ten seconds.
+    let mut node = Node::new(settings(), 2);
+    node.open(1, 1);
+    told(&mut node, 1, 100.0);
+    late(&mut node, 1, 2_000.0);
+    assert_eq!(periods(&mut node, 1), [1]);
+}
