--- a/src/policy.rs
+++ b/src/policy.rs
@@ -298,7 +298,13 @@
                 self.asking = false;
                 actions.push(Action::Watch);
             }
-            Event::Timer(_) | Event::Probed { .. } | Event::Peer(..) => {}
+            Event::Probed { server, report, .. } => {
+                let field = self.set.report_fields.iter().position(|f| *f == ReportField::LoadRatio);
+                if field.and_then(|f| report.get(f)).is_some_and(|x| *x >= 1.0) {
+                    self.delay_told(now, server, self.late_at.0 as f64 / 1_000.0);
+                }
+            }
+            Event::Timer(_) | Event::Peer(..) => {}
         }
     }
 
@@ -765,6 +771,14 @@
             server.speed = (server.speed + SPEED_GAIN).min(1.0);
             server.limit *= LIMIT_GAIN;
         }
+        // What holds none of this node's connections tells it nothing unless asked.
+        let blind: Vec<usize> = (0..self.servers.len())
+            .filter(|&s| self.servers[s].ready() && self.servers[s].conns.is_empty() && !self.late(now, s))
+            .collect();
+        if self.set.probes && self.set.report_fields.contains(&ReportField::LoadRatio) && !blind.is_empty() {
+            let s = blind[self.rng.random_range(0..blind.len())];
+            out.push(Action::Probe(self.servers[s].entry.id));
+        }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
             if self.servers[s].ready() {
