--- a/src/policy.rs
+++ b/src/policy.rs
@@ -298,13 +298,13 @@
                 self.asking = false;
                 actions.push(Action::Watch);
             }
-            Event::Probed { server, report, .. } => {
-                let field = self.set.report_fields.iter().position(|f| *f == ReportField::LoadRatio);
-                if field.and_then(|f| report.get(f)).is_some_and(|x| *x >= 1.0) {
-                    self.delay_told(now, server, self.late_at.0 as f64 / 1_000.0);
+            Event::Peer(_, data) => {
+                let id = <[u8; 8]>::try_from(data.as_slice()).map(|b| ServerId(u64::from_le_bytes(b)));
+                if let Some(&s) = id.ok().and_then(|id| self.by_id.get(&id)) {
+                    self.servers[s].paused_until = self.servers[s].paused_until.max(now + PAUSE_FIRST);
                 }
             }
-            Event::Timer(_) | Event::Peer(..) => {}
+            Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
 
@@ -742,11 +742,15 @@
         }
         // However many others are paused: the list tells of lost servers only seconds later and of a cut link
         // never, and those that can be reached may all be late or fuller than these.
+        let was_lost = server.lost;
         server.lost |= outcome == Outcome::ConnectFailed || dropped_all;
         if server.lost {
             server.barred_until = server.paused_until;
         }
         let (id, failures) = (server.entry.id, server.failures);
+        if self.set.may_tell && !was_lost && self.servers[s].lost {
+            out.push(Action::TellAll(id.0.to_le_bytes().to_vec()));
+        }
         if !paused && failures == PAUSE_TOLD {
             self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
         }
@@ -771,14 +775,6 @@
             server.speed = (server.speed + SPEED_GAIN).min(1.0);
             server.limit *= LIMIT_GAIN;
         }
-        // What holds none of this node's connections tells it nothing unless asked.
-        let blind: Vec<usize> = (0..self.servers.len())
-            .filter(|&s| self.servers[s].ready() && self.servers[s].conns.is_empty() && !self.late(now, s))
-            .collect();
-        if self.set.probes && self.set.report_fields.contains(&ReportField::LoadRatio) && !blind.is_empty() {
-            let s = blind[self.rng.random_range(0..blind.len())];
-            out.push(Action::Probe(self.servers[s].entry.id));
-        }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
             if self.servers[s].ready() {
