--- a/src/policy.rs
+++ b/src/policy.rs
@@ -298,13 +298,7 @@
                 self.asking = false;
                 actions.push(Action::Watch);
             }
-            Event::Peer(_, data) => {
-                let id = <[u8; 8]>::try_from(data.as_slice()).map(|b| ServerId(u64::from_le_bytes(b)));
-                if let Some(&s) = id.ok().and_then(|id| self.by_id.get(&id)) {
-                    self.servers[s].paused_until = self.servers[s].paused_until.max(now + PAUSE_FIRST);
-                }
-            }
-            Event::Timer(_) | Event::Probed { .. } => {}
+            Event::Timer(_) | Event::Probed { .. } | Event::Peer(..) => {}
         }
     }
 
@@ -742,15 +736,11 @@
         }
         // However many others are paused: the list tells of lost servers only seconds later and of a cut link
         // never, and those that can be reached may all be late or fuller than these.
-        let was_lost = server.lost;
         server.lost |= outcome == Outcome::ConnectFailed || dropped_all;
         if server.lost {
             server.barred_until = server.paused_until;
         }
         let (id, failures) = (server.entry.id, server.failures);
-        if self.set.may_tell && !was_lost && self.servers[s].lost {
-            out.push(Action::TellAll(id.0.to_le_bytes().to_vec()));
-        }
         if !paused && failures == PAUSE_TOLD {
             self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
         }
