--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,6 +89,11 @@
 /// Wakes the asking for the list.
 const TOKEN_ASK: TimerToken = TimerToken(1);
 
+/// A load that is no number, negative or absurd would poison every sum that it enters.
+fn is_load(load: &f64) -> bool {
+    (0.0..=LOAD_LIMIT).contains(load)
+}
+
 /// A running mean that starts at its first value.
 #[derive(Clone, Copy, Default)]
 struct Mean(Option<f64>);
@@ -208,7 +213,7 @@
             tried: Vec::new(),
             ran: None,
             sent: now,
-            told: request.hint.filter(|load| (0.0..=LOAD_LIMIT).contains(load)),
+            told: request.hint.filter(is_load),
         }
     }
 }
@@ -339,14 +344,10 @@
     }
 
     fn listed(&mut self, now: Micros, entry: ServerEntry) {
-        let s = match self.by_id.get(&entry.id) {
-            Some(&s) => s,
-            None => {
-                self.by_id.insert(entry.id, self.servers.len());
-                self.servers.push(Server::new(entry, self.set.classes.len()));
-                self.servers.len() - 1
-            }
-        };
+        let s = *self.by_id.entry(entry.id).or_insert(self.servers.len());
+        if s == self.servers.len() {
+            self.servers.push(Server::new(entry, self.set.classes.len()));
+        }
         let fresh = self.servers[s].entry.started != entry.started || self.servers[s].next_send == Micros(0);
         self.servers[s].entry = entry;
         if fresh {
@@ -471,10 +472,8 @@
     }
 
     /// Takes a connection's first load, told or hinted, into the usual ones.
-    fn learn(&mut self, request: &Request, load: f64) {
-        if !(0.0..=LOAD_LIMIT).contains(&load) {
-            return;
-        }
+    fn learn(&mut self, request: &Request, load: Option<f64>) {
+        let Some(load) = load.filter(is_load) else { return };
         self.usual_load.add(load);
         if let Some(mean) = self.class_load.get_mut(request.class as usize) {
             mean.add(load);
@@ -482,13 +481,12 @@
     }
 
     fn load_told(&mut self, id: RequestId, load: f64) {
-        // A load that is no number, negative or absurd would poison every sum that it enters.
-        if !(0.0..=LOAD_LIMIT).contains(&load) {
+        if !is_load(&load) {
             return;
         }
         let Some(mut conn) = self.conns.remove(&id) else { return };
         if conn.told.is_none() {
-            self.learn(&conn.request, load);
+            self.learn(&conn.request, Some(load));
         }
         self.leave(&conn);
         conn.told = Some(load);
@@ -516,9 +514,7 @@
         let mut conn = Conn::new(now, request);
         conn.stage = Stage::Open(s);
         self.enter(&conn);
-        if let Some(load) = request.hint {
-            self.learn(&request, load);
-        }
+        self.learn(&request, request.hint);
         self.conns.insert(request.id, conn);
     }
 
@@ -589,9 +585,9 @@
         let usable: Vec<usize> = (0..self.servers.len())
             .filter(|&s| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn))
             .collect();
-        let ready = self.servers.iter().filter(|s| s.ready()).count();
-        let paused = self.servers.iter().filter(|s| s.ready() && now < s.paused_until).count();
-        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready as f64;
+        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.ready()).collect();
+        let paused = ready.iter().filter(|s| now < s.paused_until).count();
+        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready.len() as f64;
         let healthy = |s: &usize| !heed_pauses || now >= self.servers[*s].paused_until;
         let fresh = |s: &usize| !conn.tried.contains(s);
         let mut from: Vec<usize> = usable.iter().copied().filter(|s| healthy(s) && fresh(s)).collect();
@@ -677,9 +673,7 @@
         self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(SETUPS_FIRST);
         conn.ran.get_or_insert((s, conn.sent));
         let request = conn.request;
-        if let Some(load) = request.hint {
-            self.learn(&request, load);
-        }
+        self.learn(&request, request.hint);
         self.servers[s].accepted += 1;
         self.servers[s].lost = false;
         self.setup.add(latency.0 as f64);
