--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,10 +72,10 @@
 const LOAD_LIMIT: f64 = 1e9;
 /// What a period gives back of the load at which a server was full.
 const LIMIT_GAIN: f64 = 1.05;
-/// A period's intake counts up to twice the usual and this many connections a second more.
-const INTAKE_STEP: f64 = 0.2;
-/// The longest gap between sends to a cold server, as a share of the warm-up: some intake is always due.
-const UNKNOWN_GAP: f64 = 0.25;
+/// A period's intake counts up to twice the usual and this many connections a second more, of all nodes.
+const INTAKE_STEP: f64 = 0.6;
+/// The share of the budget of a cold server that nodes use together; the rest is left to chance.
+const COLD_SHARE: f64 = 0.5;
 /// The share of a full server's room that is kept for the classes worth most for their load.
 const RESERVED: f64 = 0.5;
 /// Delays above this are no delays: a minute.
@@ -133,8 +133,8 @@
     /// It turned work away or could not be reached: nothing is sent before this.
     barred_until: Micros,
     paused_until: Micros,
-    /// While cold: not before this is it sent anything.
-    next_send: Micros,
+    /// While cold: the connections that it may still be sent in this period.
+    permits: u32,
     /// Connections accepted in this period, less those that broke.
     accepted: i32,
 }
@@ -155,7 +155,7 @@
             lost: false,
             barred_until: Micros(0),
             paused_until: Micros(0),
-            next_send: Micros(0),
+            permits: 0,
             accepted: 0,
         }
     }
@@ -284,7 +284,7 @@
     /// ended are ignored.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List(kind, entries) => self.list(now, kind, entries, actions),
+            Event::List(kind, entries) => self.list(kind, entries, actions),
             Event::Request(request) => self.request(now, request, actions),
             Event::Open(request, server) => self.open(now, request, server),
             Event::Established { id, latency } => self.established(id, latency),
@@ -316,7 +316,7 @@
 
     // ---- the server list ----
 
-    fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // A subscription that broke is asked for again, later each time but within the list's own limit.
             let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
@@ -339,27 +339,23 @@
             }
         }
         for entry in entries {
-            self.listed(now, entry);
+            self.listed(entry);
         }
     }
 
-    fn listed(&mut self, now: Micros, entry: ServerEntry) {
+    fn listed(&mut self, entry: ServerEntry) {
         let s = *self.by_id.entry(entry.id).or_insert(self.servers.len());
         if s == self.servers.len() {
             self.servers.push(Server::new(entry, self.set.classes.len()));
         }
-        let fresh = self.servers[s].entry.started != entry.started || self.servers[s].next_send == Micros(0);
-        self.servers[s].entry = entry;
-        if fresh {
-            // A process that starts anew has no history; where in its first gap this node's share begins is
-            // left to chance, or all nodes would send their first connection at once.
-            let gap = self.cold_gap(now, s).scale(self.rng.random::<f64>());
-            let server = &mut self.servers[s];
+        let server = &mut self.servers[s];
+        if server.entry.started != entry.started {
+            // A process that starts anew has no history.
             (server.speed, server.delay, server.failures, server.above) = (1.0, None, 0, 0);
-            (server.limit, server.lost) = (f64::INFINITY, false);
+            (server.limit, server.lost, server.permits) = (f64::INFINITY, false, 0);
             server.paused_until = Micros(0);
-            server.next_send = now + gap;
         }
+        server.entry = entry;
     }
 
     /// How far a server has warmed up, from nothing to one.
@@ -372,18 +368,17 @@
         }
     }
 
-    /// The time between two sends of this node to a cold server. What warm servers take of this node is at
-    /// most what they can, so the same rate times the present share and the allowed multiple is this node's
-    /// share of the budget, and spacing keeps it in every window.
-    fn cold_gap(&self, now: Micros, s: usize) -> Micros {
+    /// What this node may send a server in this period: while it is cold, its share of the budget. What warm
+    /// servers take of this node is at most what they can, so the same rate times the present share and the
+    /// allowed multiple is this node's. Where that is less than a connection chance decides, and what is not
+    /// used is lost: nodes that had all saved theirs would send it in one moment.
+    fn permit(&mut self, now: Micros, s: usize) {
         let warmth = self.warmth(now, s);
-        if warmth >= 1.0 {
-            return Micros(0);
+        if warmth < 1.0 {
+            let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
+            let rate = self.intake * share * self.set.fall_multiple * COLD_SHARE * PERIOD.as_secs_f64();
+            self.servers[s].permits = (rate + self.rng.random::<f64>()) as u32;
         }
-        let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-        let rate = self.intake * share * self.set.fall_multiple;
-        let unknown = self.set.cold.scale(UNKNOWN_GAP);
-        if rate > 0.0 { Micros((1e6 / rate) as u64).min(unknown) } else { unknown }
     }
 
     // ---- the record ----
@@ -540,8 +535,7 @@
         conn.attempts += 1;
         conn.sent = now;
         conn.tried.push(s);
-        let gap = self.cold_gap(now, s);
-        self.servers[s].next_send = now + gap;
+        self.servers[s].permits = self.servers[s].permits.saturating_sub(1);
         self.enter(&conn);
         out.push(Action::Send(id, self.servers[s].entry.id, self.time_out(now, &conn)));
         self.conns.insert(id, conn);
@@ -642,9 +636,7 @@
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready()
-            || now < server.barred_until
-            || (self.warmth(now, s) < 1.0 && now < server.next_send)
+        if !server.ready() || now < server.barred_until || (self.warmth(now, s) < 1.0 && server.permits == 0)
         {
             return false;
         }
@@ -766,10 +758,12 @@
             // Less what broke, and never far above what is usual: in a storm the same clients are accepted
             // again and again, and what a cold server may be sent must not be measured by that.
             let sample = f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64();
-            self.intake += NEWEST * (sample.min(2.0 * self.intake + INTAKE_STEP) - self.intake);
+            let step = INTAKE_STEP / f64::from(self.set.balancers.max(1));
+            self.intake += NEWEST * (sample.min(2.0 * self.intake + step) - self.intake);
         }
         self.servers.iter_mut().for_each(|s| s.accepted = 0);
         for s in 0..self.servers.len() {
+            self.permit(now, s);
             let server = &mut self.servers[s];
             server.speed = (server.speed + SPEED_GAIN).min(1.0);
             server.limit *= LIMIT_GAIN;
