--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,8 +74,6 @@
 const LIMIT_GAIN: f64 = 1.05;
 /// A period's intake counts up to twice the usual and this many connections a second more, of all nodes.
 const INTAKE_STEP: f64 = 0.6;
-/// The share of the budget of a cold server that nodes use together; the rest is left to chance.
-const COLD_SHARE: f64 = 0.5;
 /// The share of a full server's room that is kept for the classes worth most for their load.
 const RESERVED: f64 = 0.5;
 /// Delays above this are no delays: a minute.
@@ -376,7 +374,7 @@
         let warmth = self.warmth(now, s);
         if warmth < 1.0 {
             let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-            let rate = self.intake * share * self.set.fall_multiple * COLD_SHARE * PERIOD.as_secs_f64();
+            let rate = self.intake * share * self.set.fall_multiple * PERIOD.as_secs_f64();
             self.servers[s].permits = (rate + self.rng.random::<f64>()) as u32;
         }
     }
