Ties of a grouped connection fall alike at every node

Cause: at size a node's record is nothing on most servers, chance breaks the ties, and every node begins its own copy of each group somewhere else; each copy costs its server a mean load or more.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,6 +92,14 @@
     (0.0..=LOAD_LIMIT).contains(load)
 }
 
+/// Chance that falls alike at every node: where many servers tie in the own record, nodes that know nothing
+/// of one another still begin a group on the same server.
+fn shared_chance(group: GroupId, server: ServerId) -> u64 {
+    let mixed = (group.0 ^ server.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ mixed >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ mixed >> 32
+}
+
 /// A running mean that starts at its first value.
 #[derive(Clone, Copy, Default)]
 struct Mean(Option<f64>);
@@ -596,7 +604,10 @@
             from = with_group;
         }
         let after: Vec<f64> = from.iter().map(|&s| self.landing(now, s, mean, conn)).collect();
-        self.lowest(&after).map(|i| from[i])
+        let Some(group) = conn.request.group else { return self.lowest(&after).map(|i| from[i]) };
+        let lowest = after.iter().copied().fold(f64::INFINITY, f64::min);
+        let ties = (0..from.len()).filter(|&i| after[i] == lowest).map(|i| from[i]);
+        ties.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id))
     }
 
     /// Where the lowest value stands; chance decides between equals.
