Set-ups out at once are a number for all nodes together, each its share

Cause: 32 a node meant 100 with three nodes and 2,300 with 71: after a mass reconnect or a burst the first wave alone buried the servers and the shared store, and the answer came only by time-outs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,8 +60,8 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
-/// Set-ups that may be out at once at first; the number follows what succeeds.
-const SETUPS_FIRST: f64 = 32.0;
+/// Set-ups of all nodes that may be out at once at first; the number follows what succeeds.
+const SETUPS_FIRST: f64 = 128.0;
 /// What a failed set-up leaves of that number.
 const SETUPS_CUT: f64 = 0.8;
 /// The weight of the newest value in running means.
@@ -239,9 +239,10 @@
     /// Connections that a warm server takes from this node in a second; nothing at first.
     intake: f64,
     retry_tokens: f64,
-    /// Set-ups that are out, and how many may be.
+    /// Set-ups that are out, how many may be, and this node's share of what all may have out at most.
     setups_out: u32,
     setups_allowed: f64,
+    setups_most: f64,
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
@@ -255,6 +256,7 @@
     pub fn new(settings: Settings, seed: u64, _now: Micros) -> Self {
         let classes = settings.classes.len();
         let shortest = settings.classes.iter().map(|c| c.message_aim.unwrap_or(c.aim)).min();
+        let setups_most = (SETUPS_FIRST / f64::from(settings.balancers.max(1))).max(1.0);
         Policy {
             late_at: shortest.unwrap_or(Micros(0)).scale(LATE_SHARE),
             set: settings,
@@ -268,7 +270,8 @@
             intake: 0.0,
             retry_tokens: RETRY_CAP,
             setups_out: 0,
-            setups_allowed: SETUPS_FIRST,
+            setups_allowed: setups_most,
+            setups_most,
             ask_failures: 0,
             asking: false,
             log_left: LOG_LINES,
@@ -671,7 +674,7 @@
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
         self.setups_out -= 1;
-        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(SETUPS_FIRST);
+        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(self.setups_most);
         conn.ran.get_or_insert((s, conn.sent));
         let request = conn.request;
         self.learn(&request, request.hint);
