A request looks at servers by probes before it lands, where probes tell a load ratio

A request now looks at up to three candidates, 50 ms at most in all, and passes over those above a ratio of 0.7; ties of ungrouped requests fall to servers seen to have room. A server that answers full is paused like after any failure.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,7 +46,7 @@
 pub struct RequestId(pub u64);
 
 /// A server. A process that restarts keeps it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub u64);
 
 /// As an address and a port: 32 bits and 16 bits of the number.
@@ -164,18 +164,19 @@
 }
 
 /// What a server list says of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// It may be sent new work.
     Ready,
     /// It finishes what it has.
     Draining,
     /// It is no more.
+    #[default]
     Gone,
 }
 
 /// A line of the server list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ServerEntry {
     /// The server.
     pub id: ServerId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -18,8 +19,7 @@
 const BAR: f64 = 1.1;
 /// Periods above the bar before a server sheds: a load that swings by itself is back under it by then.
 const PERIODS_ABOVE: u32 = 3;
-/// The share of a server's connections that one period may move, rounded down: a node that holds few
-/// connections there knows too little of the server's load to move any.
+/// The share of a server's connections that one period may move, rounded down: few tell too little.
 const MOVE_SHARE: f64 = 0.1;
 /// The same where the server's messages are late: those connections lose more by staying.
 const REACTIVE_SHARE: f64 = 0.5;
@@ -43,19 +43,12 @@
 const PAUSE_DOUBLINGS: u32 = 4;
 /// Failures without a clear while between them that are worth a line.
 const PAUSE_TOLD: u32 = 3;
-/// A server that turned work away is left alone for this long.
-const FULL_PAUSE: Micros = Micros::from_millis(1_000);
 /// After this long without a failure the next pause is the first again.
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
-/// A connection joins its group where that server is under this multiple of the mean: each further server
-/// that holds any of a group does the group's work again.
+/// A connection joins its group where that server is under this multiple of the mean.
 const GROUP_BAR: f64 = 1.5;
-/// The share of the aim that an attempt may take before another server is tried.
-const ATTEMPT_SHARE: f64 = 0.5;
-/// An attempt is not given up before this multiple of the usual set-up time.
-const SETUP_STRETCH: f64 = 4.0;
 /// Further attempts that each first attempt earns: in a storm, retries add no more than this to the load.
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
@@ -76,9 +69,16 @@
 const INTAKE_STEP: f64 = 0.6;
 /// The share of a full server's room that is kept for the classes worth most for their load.
 const RESERVED: f64 = 0.5;
+/// A told load ratio counts this long.
+const SEEN_FRESH: Micros = Micros::from_millis(2_000);
+/// A server is passed over above this ratio of load to what it can do: a heavy connection still fits below.
+const CROWDED: f64 = 0.7;
+/// Servers that a request may look at by a probe before it lands.
+const LOOKS: u32 = 3;
+/// The longest wait for a look: a small share of any set-up aim.
+const LOOK_WAIT: Micros = Micros::from_millis(50);
 /// Delays above this are no delays: a minute.
 const DELAY_LIMIT_MS: f64 = 60_000.0;
-
 /// Log lines in a period, at most: a storm must not drown its own causes.
 const LOG_LINES: u32 = 4;
 
@@ -86,6 +86,8 @@
 const TOKEN_PERIOD: TimerToken = TimerToken(0);
 /// Wakes the asking for the list.
 const TOKEN_ASK: TimerToken = TimerToken(1);
+/// Marks the tokens of looks; the rest is the request's number.
+const TOKEN_LOOK: u64 = 1 << 63;
 
 /// A load that is no number, negative or absurd would poison every sum that it enters.
 fn is_load(load: &f64) -> bool {
@@ -100,6 +102,16 @@
     mixed ^ mixed >> 32
 }
 
+/// Takes one off a count; what is counted down to nothing is no longer held.
+fn drop_one<K: Ord>(counts: &mut BTreeMap<K, u32>, key: K) {
+    if let Entry::Occupied(mut count) = counts.entry(key) {
+        *count.get_mut() -= 1;
+        if *count.get() == 0 {
+            count.remove();
+        }
+    }
+}
+
 /// A running mean that starts at its first value.
 #[derive(Clone, Copy, Default)]
 struct Mean(Option<f64>);
@@ -121,51 +133,34 @@
 }
 
 /// What this node holds of one server.
+#[derive(Default)]
 struct Server {
     entry: ServerEntry,
     told_sum: f64,
-    untold: Vec<u32>,
+    untold: BTreeMap<u16, u32>,
     groups: BTreeMap<GroupId, u32>,
     conns: BTreeSet<RequestId>,
     above: u32,
-    /// Believed speed, one unless messages were late.
-    speed: f64,
+    /// Believed lack of speed beside the others, none unless messages were late.
+    slowness: f64,
     delay: Option<Delay>,
     /// The own record at which it was seen to be full, let out again a little each period.
-    limit: f64,
+    limit: Option<f64>,
     failures: u32,
-    /// It cannot be reached from here, until a set-up succeeds.
-    lost: bool,
-    /// It turned work away or could not be reached: nothing is sent before this.
-    barred_until: Micros,
+    /// It could not be reached from here or had no room, until a set-up succeeds.
+    shut: bool,
     paused_until: Micros,
     /// While cold: the connections that it may still be sent in this period.
     permits: u32,
+    /// The load ratio last probed, and when.
+    seen: Option<(f64, Micros)>,
+    /// Requests that wait for it.
+    lookers: Vec<RequestId>,
     /// Connections accepted in this period, less those that broke.
     accepted: i32,
 }
 
 impl Server {
-    fn new(entry: ServerEntry, classes: usize) -> Self {
-        Server {
-            entry,
-            told_sum: 0.0,
-            untold: vec![0; classes],
-            groups: BTreeMap::new(),
-            conns: BTreeSet::new(),
-            above: 0,
-            speed: 1.0,
-            delay: None,
-            limit: f64::INFINITY,
-            failures: 0,
-            lost: false,
-            barred_until: Micros(0),
-            paused_until: Micros(0),
-            permits: 0,
-            accepted: 0,
-        }
-    }
-
     fn ready(&self) -> bool {
         self.entry.state == ServerState::Ready
     }
@@ -201,6 +196,7 @@
     deadline: Micros,
     stage: Stage,
     attempts: u32,
+    looks: u32,
     tried: Vec<usize>,
     /// The first attempt that may have run: its server and when it was sent.
     ran: Option<(usize, Micros)>,
@@ -216,6 +212,7 @@
             deadline: now + request.remaining,
             stage: Stage::Held,
             attempts: 0,
+            looks: 0,
             tried: Vec::new(),
             ran: None,
             sent: now,
@@ -234,8 +231,6 @@
     /// The usual load of a connection, by class and over all.
     class_load: Vec<Mean>,
     usual_load: Mean,
-    /// The usual time of a set-up, in microseconds.
-    setup: Mean,
     /// Connections that a warm server takes from this node in a second; nothing at first.
     intake: f64,
     retry_tokens: f64,
@@ -266,7 +261,6 @@
             conns: BTreeMap::new(),
             class_load: vec![Mean::default(); classes],
             usual_load: Mean::default(),
-            setup: Mean::default(),
             intake: 0.0,
             retry_tokens: RETRY_CAP,
             setups_out: 0,
@@ -294,9 +288,12 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::List(kind, entries) => self.list(kind, entries, actions),
-            Event::Request(request) => self.request(now, request, actions),
+            Event::Request(request) => {
+                self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
+                self.attempt(now, Conn::new(now, request), actions);
+            }
             Event::Open(request, server) => self.open(now, request, server),
-            Event::Established { id, latency } => self.established(id, latency),
+            Event::Established { id, .. } => self.established(id),
             Event::Ended { id, server, outcome, closed, .. } => {
                 self.ended(now, id, server, outcome, closed, actions)
             }
@@ -312,7 +309,9 @@
                 self.asking = false;
                 actions.push(Action::Watch);
             }
-            Event::Timer(_) | Event::Probed { .. } | Event::Peer(..) => {}
+            Event::Timer(TimerToken(id)) => self.looked(now, RequestId(id & !TOKEN_LOOK), LOOKS, actions),
+            Event::Probed { server, report, .. } => self.probed(now, server, &report, actions),
+            Event::Peer(..) => {}
         }
     }
 
@@ -355,14 +354,13 @@
     fn listed(&mut self, entry: ServerEntry) {
         let s = *self.by_id.entry(entry.id).or_insert(self.servers.len());
         if s == self.servers.len() {
-            self.servers.push(Server::new(entry, self.set.classes.len()));
+            self.servers.push(Server { entry, ..Server::default() });
         }
         let server = &mut self.servers[s];
         if server.entry.started != entry.started {
             // A process that starts anew has no history.
-            (server.speed, server.delay, server.failures, server.above) = (1.0, None, 0, 0);
-            (server.limit, server.lost, server.permits) = (f64::INFINITY, false, 0);
-            server.paused_until = Micros(0);
+            (server.slowness, server.delay, server.limit, server.above) = (0.0, None, None, 0);
+            (server.failures, server.shut, server.permits, server.paused_until) = (0, false, 0, Micros(0));
         }
         server.entry = entry;
     }
@@ -377,10 +375,9 @@
         }
     }
 
-    /// What this node may send a server in this period: while it is cold, its share of the budget. What warm
-    /// servers take of this node is at most what they can, so the same rate times the present share and the
-    /// allowed multiple is this node's. Where that is less than a connection chance decides, and what is not
-    /// used is lost: nodes that had all saved theirs would send it in one moment.
+    /// What this node may send a cold server in this period. What warm ones take of this node is at most what
+    /// they can, so that rate times the present share and the allowed multiple is this node's share. Chance
+    /// decides below one, and what is not used is lost: nodes that saved it could send it in one moment.
     fn permit(&mut self, now: Micros, s: usize) {
         let warmth = self.warmth(now, s);
         if warmth < 1.0 {
@@ -397,9 +394,8 @@
     fn record(&self, s: usize) -> f64 {
         let server = &self.servers[s];
         let usual = self.usual();
-        let untold: f64 = (server.untold.iter().zip(&self.class_load))
-            .map(|(&n, mean)| f64::from(n) * mean.0.unwrap_or(usual))
-            .sum();
+        let untold = |(&class, &n): (&u16, &u32)| f64::from(n) * self.class_usual(class);
+        let untold: f64 = server.untold.iter().map(untold).sum();
         server.told_sum + untold + usual * server.groups.len() as f64
     }
 
@@ -408,19 +404,25 @@
         self.usual_load.0.unwrap_or(1.0)
     }
 
+    /// The listed size of a server.
+    fn size(&self, s: usize) -> f64 {
+        let weight = self.servers[s].entry.weight;
+        if self.set.weights == Weights::Size && weight > 0.0 { weight } else { 1.0 }
+    }
+
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
     fn power(&self, s: usize) -> f64 {
-        let server = &self.servers[s];
-        let size = match self.set.weights {
-            Weights::Size if server.entry.weight > 0.0 => server.entry.weight,
-            _ => 1.0,
-        };
-        size * server.speed
+        self.size(s) * (1.0 - self.servers[s].slowness)
+    }
+
+    /// The usual load of a class.
+    fn class_usual(&self, class: u16) -> f64 {
+        let usual = self.class_load.get(usize::from(class)).and_then(|mean| mean.0);
+        usual.unwrap_or(self.usual())
     }
 
     fn load_of(&self, conn: &Conn) -> f64 {
-        let usual = || self.class_load.get(conn.request.class as usize).and_then(|mean| mean.0);
-        conn.told.or_else(usual).unwrap_or(self.usual())
+        conn.told.unwrap_or_else(|| self.class_usual(conn.request.class))
     }
 
     /// The ready servers that are warm.
@@ -441,10 +443,9 @@
         self.setups_out += u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
-        match (conn.told, server.untold.get_mut(conn.request.class as usize)) {
-            (Some(load), _) => server.told_sum += load,
-            (None, Some(n)) => *n += 1,
-            (None, None) => {}
+        match conn.told {
+            Some(load) => server.told_sum += load,
+            None => *server.untold.entry(conn.request.class).or_default() += 1,
         }
         if let Some(group) = conn.request.group {
             *server.groups.entry(group).or_insert(0) += 1;
@@ -457,21 +458,15 @@
         self.setups_out -= u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
-        match (conn.told, server.untold.get_mut(conn.request.class as usize)) {
-            (Some(load), _) => server.told_sum = (server.told_sum - load).max(0.0),
-            (None, Some(n)) => *n -= 1,
-            (None, None) => {}
+        match conn.told {
+            Some(load) => server.told_sum = (server.told_sum - load).max(0.0),
+            None => drop_one(&mut server.untold, conn.request.class),
         }
         if server.conns.is_empty() {
             server.told_sum = 0.0;
         }
-        if let Some(group) = conn.request.group
-            && let Entry::Occupied(mut held) = server.groups.entry(group)
-        {
-            *held.get_mut() -= 1;
-            if *held.get() == 0 {
-                held.remove();
-            }
+        if let Some(group) = conn.request.group {
+            drop_one(&mut server.groups, group);
         }
     }
 
@@ -524,12 +519,6 @@
 
     // ---- requests ----
 
-    fn request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
-        self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
-        let conn = Conn::new(now, request);
-        self.attempt(now, conn, out);
-    }
-
     /// Sends a request to a server, or answers it at once where that cannot be.
     fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
@@ -540,26 +529,61 @@
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
         };
+        if self.look(now, s, &conn, out) {
+            self.conns.insert(id, conn);
+            return;
+        }
         conn.stage = Stage::Trying(s);
         conn.attempts += 1;
         conn.sent = now;
         conn.tried.push(s);
         self.servers[s].permits = self.servers[s].permits.saturating_sub(1);
         self.enter(&conn);
-        out.push(Action::Send(id, self.servers[s].entry.id, self.time_out(now, &conn)));
+        out.push(Action::Send(id, self.servers[s].entry.id, None));
         self.conns.insert(id, conn);
     }
 
-    /// The time after which another server is tried: only where an attempt, the time and the budget for
-    /// retries are left, and once only. It stretches with the usual set-up, or a slow shared store would turn
-    /// every set-up into several.
-    fn time_out(&self, now: Micros, conn: &Conn) -> Option<Micros> {
-        if conn.attempts >= self.set.max_attempts.min(2) || self.retry_tokens < 1.0 {
-            return None;
+    /// Whether a request waits for a probe's load ratio before it lands: the record of one node of many says
+    /// next to nothing of what the others hold.
+    fn look(&mut self, now: Micros, s: usize, conn: &Conn, out: &mut Vec<Action>) -> bool {
+        let known = self.seen(now, s).is_some();
+        let tells = self.set.probes && self.set.report_fields.contains(&ReportField::LoadRatio);
+        if !tells || known || conn.looks >= LOOKS || now + LOOK_WAIT.scale(2.0) > conn.deadline {
+            return false;
         }
-        let usual = Micros((self.setup.0.unwrap_or(0.0) * SETUP_STRETCH) as u64);
-        let cap = self.aim(conn).scale(ATTEMPT_SHARE).max(usual);
-        (now + cap.scale(2.0) <= conn.deadline).then_some(cap)
+        let server = &mut self.servers[s];
+        if server.lookers.is_empty() {
+            out.push(Action::Probe(server.entry.id));
+        }
+        server.lookers.push(conn.request.id);
+        out.push(Action::SetTimer(LOOK_WAIT, TimerToken(conn.request.id.0 | TOKEN_LOOK)));
+        true
+    }
+
+    /// Takes in a load report and lets those that waited for it choose again.
+    fn probed(&mut self, now: Micros, server: ServerId, report: &[f64], out: &mut Vec<Action>) {
+        let Some(&s) = self.by_id.get(&server) else { return };
+        let ratio = self.set.report_fields.iter().position(|field| *field == ReportField::LoadRatio);
+        let ratio = ratio.and_then(|i| report.get(i)).filter(|ratio| is_load(ratio));
+        self.servers[s].seen = ratio.map(|ratio| (*ratio, now)).or(self.servers[s].seen);
+        for id in std::mem::take(&mut self.servers[s].lookers) {
+            self.looked(now, id, 1, out);
+        }
+    }
+
+    /// A request that waited goes on, after the looks it has spent; all of them where no answer came in time.
+    fn looked(&mut self, now: Micros, id: RequestId, spent: u32, out: &mut Vec<Action>) {
+        if self.conns.get(&id).is_some_and(|conn| conn.stage == Stage::Held)
+            && let Some(mut conn) = self.conns.remove(&id)
+        {
+            conn.looks += spent;
+            self.attempt(now, conn, out);
+        }
+    }
+
+    /// The load ratio last told, while it counts.
+    fn seen(&self, now: Micros, s: usize) -> Option<f64> {
+        self.servers[s].seen.filter(|(_, at)| now < *at + SEEN_FRESH).map(|(ratio, _)| ratio)
     }
 
     fn aim(&self, conn: &Conn) -> Micros {
@@ -581,36 +605,34 @@
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
-    /// Where a connection lands: lowest in the own record, chance among equals.
+    /// Where a connection lands: lowest in the own record, chance among equals, with its group where that has
+    /// room. What was tried, is paused or is crowded comes after all others.
     fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
+        let (mean, usual) = (self.mean(now), self.usual());
+        let ready = || self.servers.iter().filter(|server| server.ready());
+        let paused = ready().filter(|server| now < server.paused_until).count();
+        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready().count() as f64;
+        let rank = |s: usize| {
+            let server = &self.servers[s];
+            let holds = conn.request.group.is_some_and(|group| server.groups.contains_key(&group));
+            let joins = holds && self.record(s) <= GROUP_BAR * mean * self.power(s);
+            let paused = heed_pauses && now < server.paused_until;
+            // A group that it doesn't hold yet is work that it would take on.
+            let group = if conn.request.group.is_some() && !holds { usual } else { 0.0 };
+            let crowded = self.seen(now, s).is_some_and(|ratio| ratio > CROWDED);
+            let unseen = conn.request.group.is_none() && self.seen(now, s).is_none();
+            (conn.tried.contains(&s), paused, crowded, !joins, self.landing(now, s, mean, group), unseen)
+        };
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
-        let usable: Vec<usize> = (0..self.servers.len())
-            .filter(|&s| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn))
-            .collect();
-        let ready: Vec<&Server> = self.servers.iter().filter(|s| s.ready()).collect();
-        let paused = ready.iter().filter(|s| now < s.paused_until).count();
-        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready.len() as f64;
-        let healthy = |s: &usize| !heed_pauses || now >= self.servers[*s].paused_until;
-        let fresh = |s: &usize| !conn.tried.contains(s);
-        let mut from: Vec<usize> = usable.iter().copied().filter(|s| healthy(s) && fresh(s)).collect();
-        for wider in [usable.iter().copied().filter(fresh).collect(), usable.clone()] {
-            if from.is_empty() {
-                from = wider;
-            }
+        let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
+        let ranked: Vec<_> = (0..self.servers.len()).filter(open).map(|s| (rank(s), s)).collect();
+        let best = ranked.iter().map(|(rank, _)| *rank).reduce(|a, b| if b < a { b } else { a })?;
+        let ties = ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, s)| s);
+        match conn.request.group {
+            Some(group) => ties.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id)),
+            None => ties.choose(&mut self.rng),
         }
-        let mean = self.mean(now);
-        let holds = |s: &usize| conn.request.group.is_some_and(|g| self.servers[*s].groups.contains_key(&g));
-        let room = |s: &usize| self.record(*s) <= GROUP_BAR * mean * self.power(*s);
-        let with_group: Vec<usize> = from.iter().copied().filter(|s| holds(s) && room(s)).collect();
-        if !with_group.is_empty() {
-            from = with_group;
-        }
-        let after: Vec<f64> = from.iter().map(|&s| self.landing(now, s, mean, conn)).collect();
-        let Some(group) = conn.request.group else { return self.lowest(&after).map(|i| from[i]) };
-        let lowest = after.iter().copied().fold(f64::INFINITY, f64::min);
-        let ties = (0..from.len()).filter(|&i| after[i] == lowest).map(|i| from[i]);
-        ties.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id))
     }
 
     /// Where the lowest value stands; chance decides between equals.
@@ -626,7 +648,8 @@
         let class = conn.request.class as usize;
         let best = (0..self.class_load.len()).map(|c| self.worth_of_load(c)).fold(0.0, f64::max);
         let claim = if best > 0.0 { self.worth_of_load(class) / best } else { 1.0 };
-        self.record(s) < self.servers[s].limit * (1.0 - RESERVED * (1.0 - claim))
+        let room = 1.0 - RESERVED * (1.0 - claim);
+        self.servers[s].limit.is_none_or(|limit| self.record(s) < limit * room)
     }
 
     /// What a class is worth for its usual load.
@@ -636,19 +659,18 @@
         load.map_or(0.0, |load| worth / load)
     }
 
-    /// What the record of a server counts for a landing. One that warms up counts at the others' mean at
-    /// first and at its own load at last; a group that it doesn't hold yet is work that it would take on.
-    fn landing(&self, now: Micros, s: usize, mean: f64, conn: &Conn) -> f64 {
-        let usual = self.usual();
-        let new_group = conn.request.group.is_some_and(|g| !self.servers[s].groups.contains_key(&g));
-        let group = if new_group { usual } else { 0.0 };
+    /// What the record of a server, and the work that comes with a new group, count for a landing. One that
+    /// warms up counts at the others' mean at first and at its own load at last.
+    fn landing(&self, now: Micros, s: usize, mean: f64, group: f64) -> f64 {
         (self.record(s) + group) / self.power(s) + mean * (1.0 - self.warmth(now, s))
     }
 
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready() || now < server.barred_until || (self.warmth(now, s) < 1.0 && server.permits == 0)
+        if !server.ready()
+            || (server.shut && now < server.paused_until)
+            || (self.warmth(now, s) < 1.0 && server.permits == 0)
         {
             return false;
         }
@@ -669,7 +691,7 @@
         }
     }
 
-    fn established(&mut self, id: RequestId, latency: Micros) {
+    fn established(&mut self, id: RequestId) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
@@ -679,8 +701,7 @@
         let request = conn.request;
         self.learn(&request, request.hint);
         self.servers[s].accepted += 1;
-        self.servers[s].lost = false;
-        self.setup.add(latency.0 as f64);
+        self.servers[s].shut = false;
     }
 
     fn ended(
@@ -694,13 +715,9 @@
     ) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.leave(&conn);
-        if outcome == Outcome::Timeout {
-            // It would have taken longer than this: at least as good as a sample.
-            self.setup.add(2.0 * (now - conn.sent).0 as f64);
-        }
         if let Some(&s) = self.by_id.get(&server) {
             let failed = matches!(outcome, Outcome::Error | Outcome::Timeout);
-            if failed && conn.stage.trying() && !self.servers[s].lost {
+            if failed && conn.stage.trying() && !self.servers[s].shut {
                 self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
             }
             self.judge(now, s, &conn, outcome, out);
@@ -719,9 +736,8 @@
         self.attempt(now, conn, out);
     }
 
-    /// Guards against the server that fails fast, keeps a low record and so draws all new work: each failure
-    /// doubles a pause in sending to it until it has kept clear of failures for a while. A set-up that
-    /// succeeds proves little: a server that takes connections and then drops them would draw them all.
+    /// Guards against the server that fails fast, or takes connections and drops them, keeps a low record and
+    /// so draws all new work: each failure doubles a pause, until it has kept clear of them for a while.
     fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome, out: &mut Vec<Action>) {
         let harmless = matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
         if harmless || matches!(conn.stage, Stage::Leaving(_)) {
@@ -730,11 +746,6 @@
         let holds = |id: &RequestId| self.conns.get(id).is_some_and(|conn| !conn.stage.trying());
         let dropped_all = outcome == Outcome::Reset && !self.servers[s].conns.iter().any(holds);
         let server = &mut self.servers[s];
-        if outcome == Outcome::Full {
-            // It has no room, which says nothing of its health; what else it is sent now only costs it work.
-            server.barred_until = now + FULL_PAUSE.scale(0.75 + 0.5 * self.rng.random::<f64>());
-            return;
-        }
         if outcome == Outcome::Reset && matches!(conn.stage, Stage::Open(_)) {
             server.accepted -= 1;
         }
@@ -747,12 +758,8 @@
             server.failures += 1;
             server.paused_until = now + pause.scale(0.75 + 0.5 * self.rng.random::<f64>());
         }
-        // However many others are paused: the list tells of lost servers only seconds later and of a cut link
-        // never, and those that can be reached may all be late or fuller than these.
-        server.lost |= outcome == Outcome::ConnectFailed || dropped_all;
-        if server.lost {
-            server.barred_until = server.paused_until;
-        }
+        // However many are paused: the list tells of lost servers seconds later, of a cut link never.
+        server.shut |= dropped_all || matches!(outcome, Outcome::ConnectFailed | Outcome::Full);
         let (id, failures) = (server.entry.id, server.failures);
         if !paused && failures == PAUSE_TOLD {
             self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
@@ -767,18 +774,18 @@
         let warm = self.warm(now);
         let accepted: i32 = warm.iter().map(|&s| self.servers[s].accepted).sum();
         if !warm.is_empty() {
-            // Less what broke, and never far above what is usual: in a storm the same clients are accepted
-            // again and again, and what a cold server may be sent must not be measured by that.
+            // Less what broke, and never far above what is usual: a storm's clients are accepted again and
+            // again, and what a cold server may be sent must not be measured by that.
             let sample = f64::from(accepted.max(0)) / warm.len() as f64 / PERIOD.as_secs_f64();
             let step = INTAKE_STEP / f64::from(self.set.balancers.max(1));
             self.intake += NEWEST * (sample.min(2.0 * self.intake + step) - self.intake);
         }
-        self.servers.iter_mut().for_each(|s| s.accepted = 0);
         for s in 0..self.servers.len() {
             self.permit(now, s);
             let server = &mut self.servers[s];
-            server.speed = (server.speed + SPEED_GAIN).min(1.0);
-            server.limit *= LIMIT_GAIN;
+            server.accepted = 0;
+            server.slowness = (server.slowness - SPEED_GAIN).max(0.0);
+            server.limit = server.limit.map(|limit| limit * LIMIT_GAIN);
         }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
@@ -805,12 +812,12 @@
         let busy = (1.0 + delay.growth).clamp(0.5, 10.0);
         let manages = MARGIN * record / busy;
         // An empty one may take one connection, or it would never be let out again.
-        let usual = self.usual();
-        self.servers[s].limit = self.servers[s].limit.min(manages.max(usual));
-        let size = self.power(s) / self.servers[s].speed;
+        let (usual, size) = (self.usual(), self.size(s));
+        let server = &mut self.servers[s];
+        server.limit = Some(server.limit.map_or(manages, |limit| limit.min(manages)).max(usual));
         if mean > 0.0 {
-            let speed = (manages / (mean * size)).max(SPEED_FLOOR);
-            self.servers[s].speed = self.servers[s].speed.min(speed);
+            let slowness = (1.0 - manages / (mean * size)).min(1.0 - SPEED_FLOOR);
+            server.slowness = server.slowness.max(slowness);
         }
         let piled = delay.span.as_secs_f64() / DRAIN.as_secs_f64();
         (record - manages * (1.0 - piled)).clamp(0.0, record)
