A group not held counts a share of one on the server common to all nodes

Cause: with 35 nodes a node holds a connection or two on most servers, few tie, and a group still begins wherever the record is lowest by chance.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -612,20 +612,25 @@
         let ready = || self.servers.iter().filter(|server| server.ready());
         let paused = ready().filter(|server| now < server.paused_until).count();
         let heed_pauses = paused as f64 <= PAUSED_SHARE * ready().count() as f64;
+        // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
+        // all are late the fleet is full and the request is refused.
+        let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
+        let common = conn.request.group.and_then(|group| {
+            let open = (0..self.servers.len()).filter(open);
+            open.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id))
+        });
         let rank = |s: usize| {
             let server = &self.servers[s];
             let holds = conn.request.group.is_some_and(|group| server.groups.contains_key(&group));
             let joins = holds && self.record(s) <= GROUP_BAR * mean * self.power(s);
             let paused = heed_pauses && now < server.paused_until;
             // A group that it doesn't hold yet is work that it would take on.
-            let group = if conn.request.group.is_some() && !holds { usual } else { 0.0 };
+            let shared = if common == Some(s) { f64::from(self.set.balancers.max(1)) } else { 1.0 };
+            let group = if conn.request.group.is_some() && !holds { usual / shared } else { 0.0 };
             let crowded = self.seen(now, s).is_some_and(|ratio| ratio > CROWDED);
             let unseen = conn.request.group.is_none() && self.seen(now, s).is_none();
             (conn.tried.contains(&s), paused, crowded, !joins, self.landing(now, s, mean, group), unseen)
         };
-        // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
-        // all are late the fleet is full and the request is refused.
-        let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
         let ranked: Vec<_> = (0..self.servers.len()).filter(open).map(|s| (rank(s), s)).collect();
         let best = ranked.iter().map(|(rank, _)| *rank).reduce(|a, b| if b < a { b } else { a })?;
         let ties = ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, s)| s);
