A connection joins its group while all nodes together would hold 1.25 times the mean there

Cause: at size the bar of 1.5 times a node's own mean is less than one connection, so the second connection of a group went elsewhere. All ties are broken by one draw.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,6 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
-use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -47,8 +46,8 @@
 const PAUSE_FORGOTTEN: Micros = Micros::from_millis(8_000);
 /// Paused servers above this share of the ready ones mean common trouble: none counts as paused.
 const PAUSED_SHARE: f64 = 0.35;
-/// A connection joins its group where that server is under this multiple of the mean.
-const GROUP_BAR: f64 = 1.5;
+/// A connection joins its group while all nodes together would hold no more than this multiple of the mean.
+const GROUP_BAR: f64 = 1.25;
 /// Further attempts that each first attempt earns: in a storm, retries add no more than this to the load.
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
@@ -94,8 +93,8 @@
     (0.0..=LOAD_LIMIT).contains(load)
 }
 
-/// Chance that falls alike at every node: where many servers tie in the own record, nodes that know nothing
-/// of one another still begin a group on the same server.
+/// Chance that falls alike at every node for a group: where many servers tie in the own record, nodes that
+/// know nothing of one another still begin it on the same server.
 fn shared_chance(group: GroupId, server: ServerId) -> u64 {
     let mixed = (group.0 ^ server.0.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mixed = (mixed ^ mixed >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -608,36 +607,33 @@
     /// Where a connection lands: lowest in the own record, chance among equals, with its group where that has
     /// room. What was tried, is paused or is crowded comes after all others.
     fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
-        let (mean, usual) = (self.mean(now), self.usual());
+        let (mean, usual, nodes) = (self.mean(now), self.usual(), f64::from(self.set.balancers.max(1)));
+        let ticket = conn.request.group.unwrap_or(GroupId(self.rng.random()));
+        // The other nodes are taken to hold their mean there: one node's own share of that says little.
+        let group_room = mean * (1.0 + (GROUP_BAR - 1.0) * nodes);
         let ready = || self.servers.iter().filter(|server| server.ready());
         let paused = ready().filter(|server| now < server.paused_until).count();
         let heed_pauses = paused as f64 <= PAUSED_SHARE * ready().count() as f64;
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
         let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
-        let common = conn.request.group.and_then(|group| {
-            let open = (0..self.servers.len()).filter(open);
-            open.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id))
-        });
+        let open: Vec<usize> = (0..self.servers.len()).filter(open).collect();
+        let draw = |s: usize| shared_chance(ticket, self.servers[s].entry.id);
+        let common = open.iter().copied().max_by_key(|&s| draw(s));
         let rank = |s: usize| {
             let server = &self.servers[s];
             let holds = conn.request.group.is_some_and(|group| server.groups.contains_key(&group));
-            let joins = holds && self.record(s) <= GROUP_BAR * mean * self.power(s);
+            let joins = holds && self.record(s) <= group_room * self.power(s);
             let paused = heed_pauses && now < server.paused_until;
             // A group that it doesn't hold yet is work that it would take on.
-            let shared = if common == Some(s) { f64::from(self.set.balancers.max(1)) } else { 1.0 };
+            let shared = if common == Some(s) { nodes } else { 1.0 };
             let group = if conn.request.group.is_some() && !holds { usual / shared } else { 0.0 };
             let crowded = self.seen(now, s).is_some_and(|ratio| ratio > CROWDED);
             let unseen = conn.request.group.is_none() && self.seen(now, s).is_none();
-            (conn.tried.contains(&s), paused, crowded, !joins, self.landing(now, s, mean, group), unseen)
+            let landing = self.landing(now, s, mean, group);
+            ((conn.tried.contains(&s), paused, crowded, !joins, landing, unseen, !draw(s)), s)
         };
-        let ranked: Vec<_> = (0..self.servers.len()).filter(open).map(|s| (rank(s), s)).collect();
-        let best = ranked.iter().map(|(rank, _)| *rank).reduce(|a, b| if b < a { b } else { a })?;
-        let ties = ranked.into_iter().filter(|(rank, _)| *rank == best).map(|(_, s)| s);
-        match conn.request.group {
-            Some(group) => ties.max_by_key(|&s| shared_chance(group, self.servers[s].entry.id)),
-            None => ties.choose(&mut self.rng),
-        }
+        open.iter().map(|&s| rank(s)).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
     }
 
     /// Where the lowest value stands; chance decides between equals.
