--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
 /// The same for a server that holds none of this node's connections.
-const DELAY_UNSEEN: Micros = Micros::from_millis(6_000);
+const DELAY_UNSEEN: Micros = Micros::from_millis(12_000);
 /// Piled work that was told is to be gone after this long.
 const DRAIN: Micros = Micros::from_millis(1_000);
 /// What a late server's load is brought to, as a share of what it was seen to manage.
