A group begins on a share of the servers that is alike at all nodes, one over the nodes

Cause: with many nodes a group begun on any of the lowest servers has a copy on almost as many servers as nodes hold it. Servers whose draw for the group is in the first part of as many as there are nodes come first: a few servers at size, a third with three nodes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -619,19 +619,19 @@
         let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
         let open: Vec<usize> = (0..self.servers.len()).filter(open).collect();
         let draw = |s: usize| shared_chance(ticket, self.servers[s].entry.id);
-        let common = open.iter().copied().max_by_key(|&s| draw(s));
         let rank = |s: usize| {
             let server = &self.servers[s];
+            let near =
+                conn.request.group.is_none() || draw(s) as f64 >= u64::MAX as f64 * (1.0 - 1.0 / nodes);
             let holds = conn.request.group.is_some_and(|group| server.groups.contains_key(&group));
             let joins = holds && self.record(s) <= group_room * self.power(s);
             let paused = heed_pauses && now < server.paused_until;
             // A group that it doesn't hold yet is work that it would take on.
-            let shared = if common == Some(s) { nodes } else { 1.0 };
-            let group = if conn.request.group.is_some() && !holds { usual / shared } else { 0.0 };
+            let group = if conn.request.group.is_some() && !holds { usual } else { 0.0 };
             let crowded = self.seen(now, s).is_some_and(|ratio| ratio > CROWDED);
             let unseen = conn.request.group.is_none() && self.seen(now, s).is_none();
             let landing = self.landing(now, s, mean, group);
-            ((conn.tried.contains(&s), paused, crowded, !joins, landing, unseen, !draw(s)), s)
+            ((conn.tried.contains(&s), paused, crowded, !joins, !near, landing, unseen, !draw(s)), s)
         };
         open.iter().map(|&s| rank(s)).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
     }
