--- a/src/interface.rs
+++ b/src/interface.rs
@@ -192,6 +192,13 @@
     pub started: Option<Micros>,
 }
 
+impl ServerEntry {
+    /// Whether it may be sent new work.
+    pub fn ready(&self) -> bool {
+        self.state == ServerState::Ready
+    }
+}
+
 /// Which list has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,8 @@
 const PAUSED_SHARE: f64 = 0.35;
 /// A connection joins its group while all nodes together would hold no more than this multiple of the mean.
 const GROUP_BAR: f64 = 1.25;
+/// Servers on which a group begins before all others, alike at all nodes; one over the nodes of all if more.
+const GROUP_SERVERS: f64 = 8.0;
 /// Further attempts that each first attempt earns: in a storm, retries add no more than this to the load.
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
@@ -159,12 +161,6 @@
     accepted: i32,
 }
 
-impl Server {
-    fn ready(&self) -> bool {
-        self.entry.state == ServerState::Ready
-    }
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Stage {
     /// Accepted, no attempt out.
@@ -426,7 +422,9 @@
 
     /// The ready servers that are warm.
     fn warm(&self, now: Micros) -> Vec<usize> {
-        (0..self.servers.len()).filter(|&s| self.servers[s].ready() && self.warmth(now, s) >= 1.0).collect()
+        (0..self.servers.len())
+            .filter(|&s| self.servers[s].entry.ready() && self.warmth(now, s) >= 1.0)
+            .collect()
     }
 
     /// The mean load for each unit of power over ready servers that are warm.
@@ -609,11 +607,12 @@
     fn choose(&mut self, now: Micros, conn: &Conn) -> Option<usize> {
         let (mean, usual, nodes) = (self.mean(now), self.usual(), f64::from(self.set.balancers.max(1)));
         let ticket = conn.request.group.unwrap_or(GroupId(self.rng.random()));
-        // The other nodes are taken to hold their mean there: one node's own share of that says little.
+        // The other nodes are taken to hold their mean there.
         let group_room = mean * (1.0 + (GROUP_BAR - 1.0) * nodes);
-        let ready = || self.servers.iter().filter(|server| server.ready());
-        let paused = ready().filter(|server| now < server.paused_until).count();
-        let heed_pauses = paused as f64 <= PAUSED_SHARE * ready().count() as f64;
+        let ready = || self.servers.iter().filter(|server| server.entry.ready());
+        let near = (GROUP_SERVERS / ready().count() as f64).max(1.0 / nodes);
+        let paused = ready().filter(|server| now < server.paused_until).count() as f64;
+        let heed_pauses = paused <= PAUSED_SHARE * ready().count() as f64;
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
         let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
@@ -621,8 +620,7 @@
         let draw = |s: usize| shared_chance(ticket, self.servers[s].entry.id);
         let rank = |s: usize| {
             let server = &self.servers[s];
-            let near =
-                conn.request.group.is_none() || draw(s) as f64 >= u64::MAX as f64 * (1.0 - 1.0 / nodes);
+            let near = conn.request.group.is_none() || draw(s) as f64 >= u64::MAX as f64 * (1.0 - near);
             let holds = conn.request.group.is_some_and(|group| server.groups.contains_key(&group));
             let joins = holds && self.record(s) <= group_room * self.power(s);
             let paused = heed_pauses && now < server.paused_until;
@@ -669,7 +667,7 @@
     /// Whether the rules let this request go to this server now.
     fn usable(&self, now: Micros, s: usize, conn: &Conn) -> bool {
         let server = &self.servers[s];
-        if !server.ready()
+        if !server.entry.ready()
             || (server.shut && now < server.paused_until)
             || (self.warmth(now, s) < 1.0 && server.permits == 0)
         {
@@ -737,8 +735,8 @@
         self.attempt(now, conn, out);
     }
 
-    /// Guards against the server that fails fast, or takes connections and drops them, keeps a low record and
-    /// so draws all new work: each failure doubles a pause, until it has kept clear of them for a while.
+    /// Guards against the server that fails fast, or drops what it takes, keeps a low record and so draws all
+    /// new work: each failure doubles a pause, until it has kept clear of them for a while.
     fn judge(&mut self, now: Micros, s: usize, conn: &Conn, outcome: Outcome, out: &mut Vec<Action>) {
         let harmless = matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
         if harmless || matches!(conn.stage, Stage::Leaving(_)) {
@@ -790,7 +788,7 @@
         }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
-            if self.servers[s].ready() {
+            if self.servers[s].entry.ready() {
                 self.shed(now, s, mean, out);
             }
         }
