--- a/src/policy.rs
+++ b/src/policy.rs
@@ -860,15 +860,16 @@
         }
     }
 
-    /// What moving a connection takes off a server; nothing where its group stays behind and would begin
-    /// anew elsewhere with more work than the connection's own.
+    /// What moving a connection takes off a server; nothing where its group stays behind and would begin anew
+    /// elsewhere with more work than that. The last own one of a group takes the group's work along, unless
+    /// other nodes hold it there too: the more nodes, the likelier.
     fn freed(&self, s: usize, conn: &Conn) -> Option<f64> {
-        let load = self.load_of(conn);
-        let usual = self.usual();
-        match conn.request.group.and_then(|group| self.servers[s].groups.get(&group)) {
-            None => Some(load),
-            Some(1) => Some(load + usual),
-            Some(_) => (load > usual).then_some(load),
-        }
+        let (load, usual) = (self.load_of(conn), self.usual());
+        let Some(held) = conn.request.group.and_then(|group| self.servers[s].groups.get(&group)) else {
+            return Some(load);
+        };
+        let freed =
+            if *held == 1 { load + usual * (2.0 / f64::from(self.set.balancers)).min(1.0) } else { load };
+        (freed > usual).then_some(freed)
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -309,6 +309,25 @@
     assert!(periods(&mut node, 6).is_empty(), "none weighs more than the group's work");
 }
 
+#[test]
+fn where_many_nodes_hold_a_group_its_last_own_connection_stays() {
+    // Found with 11 nodes: each moved its one connection of a group, freed nothing and began a copy elsewhere.
+    let moved = |balancers: u32| {
+        let mut node = Node::new(Settings { balancers, groups: true, ..settings() }, 2);
+        for id in 1..=8 {
+            let request = Request { group: Some(GroupId(id)), ..request(id) };
+            node.ask(request);
+            node.establish(id);
+            told(&mut node, id, if id % 2 == 0 { 130.0 } else { 60.0 });
+        }
+        let at = node.where_is(1).expect("it landed");
+        late(&mut node, at, 900.0);
+        periods(&mut node, 1).into_iter().filter(|id| id % 2 == 1).count()
+    };
+    assert!(moved(1) > 0, "alone, a node frees the group's work with it");
+    assert_eq!(moved(28), 0);
+}
+
 #[test]
 fn set_ups_that_fail_everywhere_are_not_tried_over_and_over() {
     // Found on days with a slow session store: every failed set-up came again at once.
