A probe that never returns no longer stops a node from looking at a server; absurd weights

Found in reading the module whole: requests that wait for a probe shared one, and where its answer was lost none was sent again. Each look sends its own. A weight that is infinite counts as none.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -191,6 +191,7 @@
     deadline: Micros,
     stage: Stage,
     attempts: u32,
+    /// Probes it has waited for.
     looks: u32,
     tried: Vec<usize>,
     /// The first attempt that may have run: its server and when it was sent.
@@ -402,7 +403,8 @@
     /// The listed size of a server.
     fn size(&self, s: usize) -> f64 {
         let weight = self.servers[s].entry.weight;
-        if self.set.weights == Weights::Size && weight > 0.0 { weight } else { 1.0 }
+        let told = self.set.weights == Weights::Size && weight > 0.0 && is_load(&weight);
+        if told { weight } else { 1.0 }
     }
 
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
@@ -549,9 +551,7 @@
             return false;
         }
         let server = &mut self.servers[s];
-        if server.lookers.is_empty() {
-            out.push(Action::Probe(server.entry.id));
-        }
+        out.push(Action::Probe(server.entry.id));
         server.lookers.push(conn.request.id);
         out.push(Action::SetTimer(LOOK_WAIT, TimerToken(conn.request.id.0 | TOKEN_LOOK)));
         true
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -440,6 +440,34 @@
     assert!(node.where_is(4).is_some(), "no look where the time is short");
 }
 
+#[test]
+fn a_probe_that_never_returns_does_not_blind_a_node_for_good() {
+    let mut node = Node::new(looking(), 1);
+    for id in 1..=3 {
+        node.ask(request(id));
+        assert_eq!(probes(&node), [1], "each request looks again");
+        node.pass(ms(60));
+        assert_eq!(node.where_is(id), Some(1));
+        node.establish(id);
+    }
+}
+
+#[test]
+fn absurd_and_repeated_lines_of_a_list_change_nothing_they_should_not() {
+    let mut node = Node::new(Settings { weights: Weights::Size, ..settings() }, 0);
+    let mut lines: Vec<ServerEntry> = (1..=4).chain(1..=4).map(entry).collect();
+    for (line, weight) in lines.iter_mut().zip([f64::NAN, f64::INFINITY, -1.0, 0.0].repeat(2)) {
+        line.weight = weight;
+    }
+    node.list(ListKind::Full, lines);
+    node.fill(1, 8);
+    assert!(counts(&node, 1..9).values().all(|&n| n == 2), "all count as one");
+    node.list(ListKind::Full, (1..=20_000).map(entry).collect());
+    node.list(ListKind::Full, vec![entry(2)]);
+    node.ask(request(9));
+    assert_eq!(node.where_is(9), Some(2));
+}
+
 #[test]
 fn nodes_that_know_nothing_of_one_another_begin_a_group_on_the_same_server() {
     // Found with 25 nodes: each tore every group anew, and each copy cost its server a mean load.
