--- a/crates/alderstile-drill/src/host.rs
+++ b/crates/alderstile-drill/src/host.rs
@@ -4,9 +4,9 @@
 
 use alderstile::interface::Action;
 use alderstile::policy::Policy;
+use alderstile::settings::{self, Keys, SettingsError};
 use thiserror::Error;
 
-use crate::settings::{self, SettingsError};
 use crate::wire::{Body, Header, Records, Reply, WireError};
 
 /// Why the host cannot go on.
@@ -60,10 +60,8 @@
         while let Some(record) = records.next_record()? {
             match record.body {
                 Body::Launch(seed, options) => {
-                    let settings = settings::parse(&options).map_err(|error| HostError::Settings {
-                        batch: header.batch,
-                        instance: record.instance,
-                        error,
+                    let settings = settings::parse(&Keys::from_lines(&options)).map_err(|error| {
+                        HostError::Settings { batch: header.batch, instance: record.instance, error }
                     })?;
                     let mut policy = Policy::new(settings, seed, header.now);
                     policy.start(&mut self.actions);
--- a/crates/alderstile-drill/src/main.rs
+++ b/crates/alderstile-drill/src/main.rs
@@ -5,12 +5,10 @@
 
 use alderstile_drill::host::{Host, HostError};
 use alderstile_drill::wire::{self, Header};
-use tracing::{error, info};
-use tracing_subscriber::EnvFilter;
+use log::{error, info};
 
 fn main() -> ExitCode {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(io::stderr).with_ansi(false).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -36,7 +34,7 @@
         output.flush()?;
         batches += 1;
     }
-    info!(batches, "end of input");
+    info!("end of input after {batches} batches");
     Ok(())
 }
 
--- a/crates/alderstile-drill/tests/codec.rs
+++ b/crates/alderstile-drill/tests/codec.rs
@@ -1,12 +1,12 @@
 //! Frames built here, read and answered by the adapter.
 
 use alderstile_drill::host::{Host, HostError};
-use alderstile_drill::settings::{self, SettingsError};
 use alderstile_drill::wire::{Body, HEADER_LEN, Header, Records, Reply, WireError};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
 use alderstile::interface::*;
+use alderstile::settings::{self, Keys, SettingsError};
 
 const SETTINGS: &str = "balancers=2\nmy_zone=1\nclasses.count=1\nclasses.0.aim=300000\n\
     classes.0.worth=2.0\nclasses.0.semantics=retryable\nclasses.0.window=5000000\nextra.message_aim=100000.0\n\
@@ -237,12 +237,12 @@
 
 #[test]
 fn settings_name_the_key_that_is_missing_or_bad() {
-    assert!(settings::parse(SETTINGS).is_ok());
+    assert!(settings::parse(&Keys::from_lines(SETTINGS)).is_ok());
     let without = |key: &str| -> String {
         SETTINGS.lines().filter(|line| !line.starts_with(key)).map(|line| format!("{line}\n")).collect()
     };
     for key in ["balancers", "classes.count", "classes.0.aim", "discovery", "obligations.cold", "weights"] {
-        match settings::parse(&without(&format!("{key}="))) {
+        match settings::parse(&Keys::from_lines(&without(&format!("{key}=")))) {
             Err(SettingsError::Missing(missing)) => assert_eq!(missing, key),
             other => panic!("{key}: {other:?}"),
         }
@@ -258,7 +258,7 @@
         ("extra.message_aim", "soon"),
     ] {
         let text = without(&format!("{key}=")) + &format!("{key}={value}\n");
-        match settings::parse(&text) {
+        match settings::parse(&Keys::from_lines(&text)) {
             Err(SettingsError::Bad { key: named, .. }) => assert_eq!(named, key),
             other => panic!("{key}: {other:?}"),
         }
--- /dev/null
+++ b/crates/alderstile-node/src/config.rs
@@ -0,0 +1,183 @@
+//! The one place where configuration is read, checked and given its defaults.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use alderstile::interface::Settings;
+use alderstile::settings::{self, Keys, SettingsError, absent};
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::discovery::List;
+
+/// Descriptors that a node may hold where nothing else is said.
+const SOCKETS: usize = 1024;
+/// How long a connection to a host may take where nothing else is said.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Why there is no configuration.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// No file was named.
+    #[error("no configuration: name a file with --config or ROUTER_CONFIG")]
+    NoFile,
+    /// The file cannot be read.
+    #[error("{path}: {error}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The file is not JSON.
+    #[error("{path}: {error}")]
+    Json {
+        /// The file.
+        path: String,
+        /// Why.
+        error: serde_json::Error,
+    },
+    /// A key is missing or has a value that cannot be used.
+    #[error(transparent)]
+    Key(#[from] SettingsError),
+    /// The list of servers last known cannot be read.
+    #[error("the key known: {0}")]
+    Known(serde_json::Error),
+}
+
+/// All that a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the server list is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the node may hold.
+    pub sockets: usize,
+    /// Where messages of other nodes arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The nodes by their numbers, this one included.
+    pub peers: Vec<SocketAddr>,
+    /// All nodes at once.
+    pub peers_all: Option<SocketAddr>,
+    /// The server list last known.
+    pub known: List,
+    /// The classes by their numbers.
+    pub classes: Vec<String>,
+    /// The zones by their numbers.
+    pub zones: Vec<String>,
+    /// How long a connection to a host may take.
+    pub connect_timeout: Duration,
+    /// A message takes long from this time on: it is told then.
+    pub message_aim: Option<Duration>,
+    /// What the decisions are told.
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads and checks a file; `env` gives the values that stand above the file's.
+    pub fn load(path: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = path.map(Path::to_path_buf).or_else(|| env("ROUTER_CONFIG").map(Into::into));
+        let path = path.ok_or(ConfigError::NoFile)?;
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| ConfigError::File { path: shown.clone(), error })?;
+        let mut value: Value =
+            serde_json::from_str(&text).map_err(|error| ConfigError::Json { path: shown, error })?;
+        for (key, variable) in
+            [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY")]
+        {
+            if let (Some(fields), Some(text)) = (value.as_object_mut(), env(variable)) {
+                fields.insert(key.to_owned(), Value::String(text));
+            }
+        }
+        Self::parse(value)
+    }
+
+    /// Checks a configuration.
+    pub fn parse(mut value: Value) -> Result<Self, ConfigError> {
+        let mut part = |key: &str| value.as_object_mut().and_then(|fields| fields.remove(key));
+        let (told, known) = (part("settings").unwrap_or_default(), part("known"));
+        let set = flat("settings.", &told);
+        let keys = flat("", &value);
+        let known = match known {
+            Some(known) => List::from_value(known).map_err(ConfigError::Known)?,
+            None => List::default(),
+        };
+        let address = "an address and a port";
+        let peers = keys.list("peers").into_iter();
+        let peers =
+            peers.map(|text| text.parse().map_err(|_| keys.bad("peers", text, "addresses and ports")));
+        let count: u16 = set.read("classes.count", "a list of classes")?;
+        let classes = (0..count).map(|i| set.text(&format!("classes.{i}.name")).map(str::to_owned));
+        let timeout = set.micros("allowed.connect_timeout").map(|span| Duration::from_micros(span.0));
+        let settings = settings::parse(&set)?;
+        Ok(Config {
+            name: keys.text("name")?.to_owned(),
+            listen: keys.read("listen", address)?,
+            discovery: keys.read("discovery", address)?,
+            seed: match keys.text("seed") {
+                Ok(text) => u64::from_str_radix(text, 16)
+                    .map_err(|_| keys.bad("seed", text, "at most 16 hexadecimal digits"))?,
+                Err(_) => std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0),
+            },
+            sockets: keys.read("limits.sockets", "a whole number").or_else(absent(SOCKETS))?,
+            peer_listen: keys.read("peer_listen", address).map(Some).or_else(absent(None))?,
+            peers: peers.collect::<Result<_, _>>()?,
+            peers_all: keys.read("peers_all", address).map(Some).or_else(absent(None))?,
+            known,
+            classes: classes.collect::<Result<_, _>>()?,
+            zones: set.list("zones").into_iter().map(str::to_owned).collect(),
+            connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
+            message_aim: settings
+                .classes
+                .iter()
+                .filter_map(|class| class.message_aim)
+                .min()
+                .map(|aim| Duration::from_micros(aim.0)),
+            settings,
+        })
+    }
+}
+
+/// Values by path: objects by their keys, lists of plain values joined by commas, lists of objects by their number.
+fn flat(place: &'static str, value: &Value) -> Keys {
+    let mut pairs = Vec::new();
+    flatten(String::new(), value, &mut pairs);
+    Keys::new(place, pairs)
+}
+
+fn flatten(path: String, value: &Value, pairs: &mut Vec<(String, String)>) {
+    let under = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                flatten(under(key), value, pairs);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.push((under("count"), items.len().to_string()));
+            for (i, item) in items.iter().enumerate() {
+                flatten(under(&i.to_string()), item, pairs);
+            }
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.push((path, items.join(",")));
+        }
+        Value::Null => {}
+        _ => pairs.push((path, plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/alderstile-node/src/discovery.rs
@@ -0,0 +1,217 @@
+//! The server list: read from discovery's answers, watched for changes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use alderstile::interface::{ListKind, Micros, ServerEntry, ServerId, ServerState};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use log::{info, warn};
+use serde::Deserialize;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, timeout_at};
+
+use crate::node::Node;
+
+/// How long a call may take until its answer begins.
+const ANSWER: Duration = Duration::from_secs(4);
+/// An empty line comes every 2 s: after this long without one the watch is dead, whatever TCP says.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The longest list that is read: far above any real one, and a bound on what a wrong answer can cost.
+const MAX_LIST: usize = 16 << 20;
+
+/// A list of servers, or the changes of one.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    /// Its version.
+    pub seq: u64,
+    /// It names all servers.
+    pub whole: bool,
+    /// The servers.
+    pub hosts: Vec<Host>,
+}
+
+/// One server of a list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    /// Its name, the same at every node.
+    pub host: String,
+    /// Where this node reaches it; a removed one may have none.
+    #[serde(default)]
+    pub dial: Option<SocketAddr>,
+    /// Its zone by its name.
+    #[serde(default)]
+    pub site: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u16,
+    /// Whether it may be sent new work.
+    pub health: Health,
+    /// Its weight.
+    #[serde(default)]
+    pub share: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: u64,
+}
+
+/// A server's state.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// It may be sent new work.
+    Up,
+    /// It finishes what it has.
+    Draining,
+    /// It is no more.
+    Removed,
+}
+
+impl List {
+    /// Reads a list.
+    pub fn from_value(value: serde_json::Value) -> Result<Self, serde_json::Error> {
+        serde_json::from_value(value)
+    }
+
+    /// As the decisions want it. A zone that the settings do not name is none of theirs.
+    pub fn entries(&self, zones: &[String]) -> Vec<ServerEntry> {
+        let zone =
+            |site: &str| zones.iter().position(|zone| zone == site).and_then(|i| u16::try_from(i).ok());
+        self.hosts
+            .iter()
+            .map(|host| ServerEntry {
+                id: server_id(&host.host),
+                zone: zone(&host.site).unwrap_or(u16::MAX),
+                cell: host.block,
+                state: match host.health {
+                    Health::Up => ServerState::Ready,
+                    Health::Draining => ServerState::Draining,
+                    Health::Removed => ServerState::Gone,
+                },
+                weight: host.share,
+                started: (host.born_ms > 0).then(|| Micros::from_millis(host.born_ms)),
+            })
+            .collect()
+    }
+}
+
+/// The number of a server: the same at all nodes and at every start, as groups begin alike by it (FNV-1a).
+pub fn server_id(host: &str) -> ServerId {
+    let mix = |id: u64, byte: u8| (id ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+}
+
+/// Why a watch ended.
+#[derive(Debug, Error)]
+enum WatchError {
+    #[error("no answer in time")]
+    NoAnswer,
+    #[error("silent for {} s", SILENCE.as_secs())]
+    Silent,
+    #[error("connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("HTTP: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("line that is no list: {0}")]
+    NoList(#[from] serde_json::Error),
+    #[error("line without end")]
+    Overlong,
+    #[error("ended")]
+    Ended,
+}
+
+/// Watches whenever the decisions ask for it, and tells them when a watch has ended.
+pub async fn run(node: Rc<Node>) {
+    let mut held = Held { seq: node.config.known.seq, ..Held::default() };
+    loop {
+        node.ask_list.notified().await;
+        let ended = watch(&node, &mut held).await.err().unwrap_or(WatchError::Ended);
+        warn!("watch of the server list: {ended}");
+        node.list(ListKind::Failed, Vec::new());
+    }
+}
+
+/// What is held of the list.
+#[derive(Default)]
+struct Held {
+    seq: u64,
+    /// A list has come from discovery itself.
+    told: bool,
+}
+
+/// The task of a connection ends with the watch.
+struct Abort(AbortHandle);
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn watch(node: &Node, held: &mut Held) -> Result<(), WatchError> {
+    let deadline = tokio::time::Instant::now() + ANSWER;
+    let stream = timeout_at(deadline, TcpStream::connect(node.config.discovery)).await;
+    let stream = stream.map_err(|_| WatchError::NoAnswer)??;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move { connection.await.unwrap_or_default() });
+    let _abort = Abort(task.abort_handle());
+    let request = Request::get(format!("/catalog/members?stream=1&index={}", held.seq))
+        .header("Host", node.config.discovery.to_string())
+        .body(Empty::<Bytes>::new());
+    let Ok(request) = request else { return Err(WatchError::Ended) };
+    let answer = timeout_at(deadline, sender.send_request(request)).await;
+    let answer = answer.map_err(|_| WatchError::NoAnswer)??;
+    if answer.status() != StatusCode::OK {
+        return Err(WatchError::Status(answer.status()));
+    }
+    follow(node, held, answer).await
+}
+
+/// Takes in one line after the other until the watch ends.
+async fn follow(node: &Node, held: &mut Held, mut answer: Response<Incoming>) -> Result<(), WatchError> {
+    // Lines and chunks need not end together.
+    let mut line: Vec<u8> = Vec::new();
+    loop {
+        let frame = timeout(SILENCE, answer.frame()).await.map_err(|_| WatchError::Silent)?;
+        let Some(frame) = frame else { return Ok(()) };
+        let Ok(data) = frame?.into_data() else { continue };
+        for piece in data.split_inclusive(|byte| *byte == b'\n') {
+            line.extend_from_slice(piece);
+            if line.len() > MAX_LIST {
+                return Err(WatchError::Overlong);
+            }
+            if line.ends_with(b"\n") {
+                take_in(node, held, line.trim_ascii())?;
+                line.clear();
+            }
+        }
+    }
+}
+
+fn take_in(node: &Node, held: &mut Held, line: &[u8]) -> Result<(), WatchError> {
+    if line.is_empty() {
+        // Nothing has changed since the version held.
+        if !held.told {
+            held.told = true;
+            node.list(ListKind::Delta, Vec::new());
+        }
+        return Ok(());
+    }
+    let list: List = serde_json::from_slice(line)?;
+    if !list.whole && list.seq < held.seq {
+        return Ok(());
+    }
+    held.seq = list.seq;
+    held.told = true;
+    info!("server list {}: {} lines{}", list.seq, list.hosts.len(), if list.whole { ", whole" } else { "" });
+    node.learn(&list);
+    Ok(())
+}
--- /dev/null
+++ b/crates/alderstile-node/src/lib.rs
@@ -0,0 +1,18 @@
+//! The balancer on sockets: takes clients in, places them by the alderstile decisions, and relays their lines.
+//!
+//! One file for each job. [`node`] is what all tasks share, everything runs on one thread, and nothing here
+//! decides where a client goes: that is the library's.
+
+pub mod buffer;
+pub mod clock;
+pub mod config;
+pub mod delay;
+pub mod discovery;
+pub mod listener;
+pub mod node;
+pub mod peers;
+pub mod protocol;
+pub mod reason;
+pub mod relay;
+pub mod session;
+pub mod shutdown;
--- /dev/null
+++ b/crates/alderstile-node/src/main.rs
@@ -0,0 +1,118 @@
+//! The command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use alderstile_node::config::Config;
+use alderstile_node::node::Node;
+use alderstile_node::peers::Peers;
+use alderstile_node::{discovery, listener, shutdown};
+use lexopt::{Arg, Parser, ValueExt};
+use log::{error, info};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+const HELP: &str = "\
+alderstile balances long-lived connections over hosts
+
+Usage: alderstile COMMAND [--config FILE]
+
+Commands:
+  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move
+  check-config  read and check the configuration, and say what is wrong with it
+  version       print the version
+  help          print this
+
+The configuration is a JSON file: FILE, or the one that ROUTER_CONFIG names. ROUTER_NAME, ROUTER_LISTEN and
+ROUTER_DISCOVERY stand above its name, listen and discovery. RUST_LOG sets what is logged (info if not set).
+";
+
+enum Command {
+    Serve(Option<PathBuf>),
+    CheckConfig(Option<PathBuf>),
+    Version,
+    Help,
+}
+
+fn command(mut args: Parser) -> Result<Command, lexopt::Error> {
+    let (mut name, mut config) = (None, None);
+    while let Some(arg) = args.next()? {
+        match arg {
+            Arg::Long("config") => config = Some(PathBuf::from(args.value()?)),
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
+            Arg::Value(value) if name.is_none() => name = Some(value.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    match name.as_deref() {
+        Some("serve") => Ok(Command::Serve(config)),
+        Some("check-config") => Ok(Command::CheckConfig(config)),
+        Some("version") => Ok(Command::Version),
+        Some("help") => Ok(Command::Help),
+        Some(other) => Err(format!("unknown command {other:?}; `alderstile help` lists them").into()),
+        None => Err("which command? `alderstile help` lists them".into()),
+    }
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let done = match command(Parser::from_env()) {
+        Err(error) => Err(error.to_string()),
+        Ok(Command::Help) => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Ok(Command::Version) => {
+            println!("alderstile {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Ok(Command::CheckConfig(path)) => load(path.as_deref()).map(|config| {
+            println!("{}: listens on {}, {} classes: fine", config.name, config.listen, config.classes.len());
+        }),
+        Ok(Command::Serve(path)) => load(path.as_deref()).and_then(serve),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(path: Option<&Path>) -> Result<Config, String> {
+    Config::load(path, |name| std::env::var(name).ok()).map_err(|error| error.to_string())
+}
+
+/// Serves until a signal comes and all clients have been told to move.
+fn serve(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
+    LocalSet::new().block_on(&runtime, async {
+        let node = Rc::new(Node::new(config));
+        let listen = node.config.listen;
+        let mut term = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
+        let listener = listener::bind(listen).map_err(|error| format!("listen {listen}: {error}"))?;
+        let peers = Peers::bind(&node).await.map_err(|error| format!("peer_listen: {error}"))?;
+        info!("{} listens on {listen}", node.config.name);
+        if let Some(peers) = &peers {
+            spawn_local(peers.clone().run(node.clone()));
+        }
+        spawn_local(discovery::run(node.clone()));
+        spawn_local(node.clone().run(move |data| {
+            if let Some(peers) = &peers {
+                peers.tell(data);
+            }
+        }));
+        let accepting = spawn_local(listener::run(node.clone(), listener));
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        shutdown::run(node, accepting).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/alderstile-node/src/node.rs
@@ -0,0 +1,235 @@
+//! What all tasks of a node share: the decisions, the table of servers, and who is to be moved.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use alderstile::facade::Facade;
+use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
+use log::info;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::delay::Delays;
+use crate::discovery::{Health, List, server_id};
+use crate::reason::Reason;
+
+/// Descriptors that are no connections of clients or to hosts: the runtime's, the listener, discovery, peers, logs.
+const OWN_DESCRIPTORS: usize = 32;
+/// How often delays of messages are told.
+const DELAYS: Duration = Duration::from_secs(1);
+
+/// A server as this node reaches it.
+#[derive(Clone, Debug)]
+pub struct HostAt {
+    /// Its name.
+    pub name: Rc<str>,
+    /// Its address.
+    pub dial: SocketAddr,
+}
+
+/// Tells one relay that its client is to move.
+#[derive(Default)]
+pub struct Mover {
+    /// Wakes the relay.
+    pub notify: Notify,
+    /// The node is leaving; otherwise the decisions want it.
+    pub leaving: Cell<bool>,
+}
+
+impl Mover {
+    /// Why the client is to move.
+    pub fn reason(&self) -> Reason {
+        if self.leaving.get() { Reason::NodeLeaving } else { Reason::Moved }
+    }
+}
+
+/// One node.
+pub struct Node {
+    /// What it was told at its start.
+    pub config: Config,
+    /// Its clock.
+    pub clock: Clock,
+    /// A watch of the server list is wanted.
+    pub ask_list: Notify,
+    /// What was seen of messages in this second.
+    pub delays: RefCell<Delays>,
+    facade: RefCell<Facade>,
+    hosts: RefCell<BTreeMap<ServerId, HostAt>>,
+    movers: RefCell<BTreeMap<RequestId, Rc<Mover>>>,
+    wake: Notify,
+    ready: Cell<bool>,
+    leaving: Cell<bool>,
+    descriptors: Rc<Cell<usize>>,
+}
+
+/// A descriptor in use, counted while this lives.
+pub struct Descriptor(Rc<Cell<usize>>);
+
+impl Drop for Descriptor {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Node {
+    /// A node that has just started, with the list it last had.
+    pub fn new(config: Config) -> Self {
+        let clock = Clock::default();
+        let facade = Facade::new(config.settings.clone(), config.seed, clock.now());
+        let known = config.known.clone();
+        let node = Node {
+            config,
+            clock,
+            ask_list: Notify::new(),
+            delays: RefCell::default(),
+            facade: RefCell::new(facade),
+            hosts: RefCell::default(),
+            movers: RefCell::default(),
+            wake: Notify::new(),
+            ready: Cell::new(false),
+            leaving: Cell::new(false),
+            descriptors: Rc::default(),
+        };
+        node.take_addresses(&known);
+        node.decide(|facade, now| {
+            facade.report_list(now, ListKind::Cached, known.entries(&node.config.zones))
+        });
+        node
+    }
+
+    /// Asks the decisions or reports to them, at this moment.
+    pub fn decide<T>(&self, call: impl FnOnce(&mut Facade, Micros) -> T) -> T {
+        call(&mut self.facade.borrow_mut(), self.clock.now())
+    }
+
+    /// Takes in a list that discovery sent.
+    pub fn learn(&self, list: &List) {
+        self.take_addresses(list);
+        let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
+        self.list(kind, list.entries(&self.config.zones));
+    }
+
+    /// Reports a list, or that a call for it failed.
+    pub fn list(&self, kind: ListKind, entries: Vec<ServerEntry>) {
+        self.decide(|facade, now| facade.report_list(now, kind, entries));
+        // The list known may be old: who serves by it does so only where discovery is not to be had.
+        self.ready.set(self.ready.get() || !self.hosts.borrow().is_empty());
+        self.wake.notify_one();
+    }
+
+    fn take_addresses(&self, list: &List) {
+        let mut hosts = self.hosts.borrow_mut();
+        if list.whole {
+            let named: BTreeSet<ServerId> = list.hosts.iter().map(|host| server_id(&host.host)).collect();
+            hosts.retain(|id, _| named.contains(id));
+        }
+        for host in &list.hosts {
+            match host.dial {
+                Some(dial) if host.health != Health::Removed => {
+                    hosts.insert(server_id(&host.host), HostAt { name: host.host.as_str().into(), dial });
+                }
+                _ => {
+                    hosts.remove(&server_id(&host.host));
+                }
+            }
+        }
+    }
+
+    /// Where a server is reached.
+    pub fn host(&self, server: ServerId) -> Option<HostAt> {
+        self.hosts.borrow().get(&server).cloned()
+    }
+
+    /// Whether clients may be sent here.
+    pub fn ready(&self) -> bool {
+        self.ready.get() && !self.leaving.get()
+    }
+
+    /// Whether the node is about to stop.
+    pub fn leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// From now on every client that is served is told to move.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Tells all clients that are served to move.
+    pub fn move_all(&self) {
+        for mover in self.movers.borrow().values() {
+            mover.leaving.set(true);
+            mover.notify.notify_one();
+        }
+    }
+
+    /// A client is served from now on and can be moved.
+    pub fn serve(&self, id: RequestId) -> Rc<Mover> {
+        let mover = Rc::new(Mover::default());
+        self.movers.borrow_mut().insert(id, mover.clone());
+        mover
+    }
+
+    /// A client is no longer served.
+    pub fn unserve(&self, id: RequestId) {
+        self.movers.borrow_mut().remove(&id);
+    }
+
+    /// Clients served now.
+    pub fn served(&self) -> usize {
+        self.movers.borrow().len()
+    }
+
+    /// One more descriptor, unless fewer than `spare` more are left.
+    pub fn descriptor(&self, spare: usize) -> Option<Descriptor> {
+        let held = self.descriptors.get();
+        if held + OWN_DESCRIPTORS + spare >= self.config.sockets {
+            return None;
+        }
+        self.descriptors.set(held + 1);
+        Some(Descriptor(self.descriptors.clone()))
+    }
+
+    /// Descriptors that connections hold now.
+    pub fn descriptors(&self) -> usize {
+        self.descriptors.get()
+    }
+
+    /// Does what is due, for as long as the node runs.
+    pub async fn run(self: Rc<Self>, tell: impl Fn(&[u8])) {
+        let mut next_delays = tokio::time::Instant::now() + DELAYS;
+        loop {
+            let chores = self.decide(|facade, now| facade.tick(now));
+            for id in chores.moves {
+                if let Some(mover) = self.movers.borrow().get(&id) {
+                    mover.notify.notify_one();
+                }
+            }
+            if chores.watch {
+                self.ask_list.notify_one();
+            }
+            chores.tell.iter().for_each(|data| tell(data));
+            chores.lines.iter().for_each(|line| info!("{line}"));
+            let due = self.decide(|facade, _| facade.next_due()).map(|due| self.clock.moment(due).into());
+            tokio::select! {
+                () = tokio::time::sleep_until(due.unwrap_or(next_delays)) => {}
+                () = tokio::time::sleep_until(next_delays) => {
+                    next_delays += DELAYS;
+                    self.tell_delays();
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    fn tell_delays(&self) {
+        let delays = self.delays.borrow_mut().take();
+        for (server, ms) in delays {
+            self.decide(|facade, now| facade.report_delay(now, server, ms));
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderstile-node/src/peers.rs
@@ -0,0 +1,64 @@
+//! Messages between nodes: datagrams, late or lost at any time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use log::{debug, warn};
+use tokio::net::UdpSocket;
+
+use crate::node::Node;
+
+/// The longest message; a longer one is against the protocol.
+pub const MAX_MESSAGE: usize = 256;
+
+/// The way to the other nodes, where there is one.
+pub struct Peers {
+    socket: UdpSocket,
+    all: SocketAddr,
+}
+
+impl Peers {
+    /// Listens where the configuration says; none where nodes may not talk.
+    pub async fn bind(node: &Node) -> io::Result<Option<Rc<Self>>> {
+        let (Some(listen), Some(all)) = (node.config.peer_listen, node.config.peers_all) else {
+            return Ok(None);
+        };
+        if !node.config.settings.may_tell {
+            return Ok(None);
+        }
+        Ok(Some(Rc::new(Peers { socket: UdpSocket::bind(listen).await?, all })))
+    }
+
+    /// Sends a message to all nodes; it is lost where the system has no room for it.
+    pub fn tell(&self, data: &[u8]) {
+        if data.len() > MAX_MESSAGE {
+            warn!("message of {} bytes not sent", data.len());
+        } else if let Err(error) = self.socket.try_send_to(data, self.all) {
+            debug!("message lost: {error}");
+        }
+    }
+
+    /// Hands messages of known nodes to the decisions.
+    pub async fn run(self: Rc<Self>, node: Rc<Node>) {
+        let mut data = [0; MAX_MESSAGE + 1];
+        loop {
+            match self.socket.recv_from(&mut data).await {
+                Ok((len, from)) => {
+                    let number = node.config.peers.iter().position(|peer| *peer == from);
+                    match number.and_then(|number| u32::try_from(number).ok()) {
+                        Some(number) if len <= MAX_MESSAGE => {
+                            node.decide(|facade, now| facade.report_peer(now, number, data[..len].to_vec()));
+                        }
+                        _ => debug!("message of {len} bytes from {from} ignored"),
+                    }
+                }
+                // A message that a node on its way down refused comes back as an error; the next one is fine.
+                Err(error) => {
+                    debug!("peers: {error}");
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderstile-node/src/relay.rs
@@ -0,0 +1,196 @@
+//! Passes whole lines on between a client and its host, until one side ends or the client is moved.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use alderstile::interface::{RequestId, ServerId};
+use log::trace;
+use tokio::io::Interest;
+use tokio::time::{Instant, sleep_until};
+
+use crate::node::{Mover, Node};
+use crate::protocol::{HostLine, host_line};
+use crate::reason::Reason;
+use crate::session::{Pulled, Side};
+
+/// A client whose lines have brought nothing back for this long is told to move: keep-alive does not see silence.
+const SILENT: Duration = Duration::from_millis(5_500);
+/// How long the last lines may take to reach the other side: its end must be told within a second.
+const LAST_LINES: Duration = Duration::from_millis(500);
+/// A client that takes nothing for this long, while lines wait for it, is stuck.
+const STUCK: Duration = Duration::from_secs(10);
+/// Lines of a client whose return is timed; more are not asked for at once by any sound client.
+const TIMED: usize = 16;
+
+/// How both sides are ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// In an orderly way, after this last line to the client.
+    Both(&'static [u8]),
+    /// As a broken connection ends.
+    Reset,
+}
+
+/// What is watched of the lines that pass.
+struct Watch<'a> {
+    node: &'a Node,
+    id: RequestId,
+    server: ServerId,
+    /// When the client's lines came that have brought nothing back yet.
+    asked: VecDeque<Instant>,
+    /// Since when a line of the client has brought nothing at all back.
+    silent_since: Option<Instant>,
+    /// The host's last word, if it was one of parting.
+    parting: Option<HostLine>,
+}
+
+impl Watch<'_> {
+    fn client_lines(&mut self, lines: &[u8]) {
+        let now = Instant::now();
+        for _ in lines.split_inclusive(|byte| *byte == b'\n') {
+            self.silent_since.get_or_insert(now);
+            if self.asked.len() < TIMED {
+                self.asked.push_back(now);
+            }
+        }
+    }
+
+    fn host_lines(&mut self, lines: &[u8]) {
+        for line in lines.split_inclusive(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r\n").unwrap_or(line);
+            trace!("host {} says {:?}", self.server, String::from_utf8_lossy(line));
+            self.parting = None;
+            match host_line(line) {
+                HostLine::Load(load) => {
+                    self.node.decide(|facade, now| facade.report_load(now, self.id, load))
+                }
+                parting @ (HostLine::Bye | HostLine::Move) => self.parting = Some(parting),
+                HostLine::Up => {}
+                _ => {
+                    self.silent_since = None;
+                    if let Some(asked) = self.asked.pop_front() {
+                        trace!("delay {} {:?}", self.server, asked.elapsed());
+                        self.node.delays.borrow_mut().add(self.server, asked.elapsed());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Writes what waits on one side to the other; false if that connection is broken.
+fn push(from: &mut Side, to: &Side) -> bool {
+    while !from.buffer.whole().is_empty() {
+        match to.stream.try_write(from.buffer.whole()) {
+            Ok(count) => from.buffer.consume(count),
+            Err(error) => return error.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+    true
+}
+
+/// Writes all that waits for the client, if it takes that soon.
+async fn push_last(host: &mut Side, client: &Side) {
+    let _late = tokio::time::timeout(LAST_LINES, async {
+        while push(host, client) && !host.buffer.whole().is_empty() {
+            if client.stream.writable().await.is_err() {
+                break;
+            }
+        }
+    })
+    .await;
+}
+
+fn interest(read: bool, write: bool) -> Option<Interest> {
+    match (read, write) {
+        (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
+        (true, false) => Some(Interest::READABLE),
+        (false, true) => Some(Interest::WRITABLE),
+        (false, false) => None,
+    }
+}
+
+async fn ready(side: &Side, interest: Option<Interest>) {
+    match interest {
+        // A broken connection is ready too, and says so when it is read.
+        Some(interest) => drop(side.stream.ready(interest).await),
+        None => std::future::pending().await,
+    }
+}
+
+/// Relays until one side ends; says why, and how the other is to be ended.
+pub async fn run(
+    node: &Node,
+    client: &mut Side,
+    host: &mut Side,
+    id: RequestId,
+    server: ServerId,
+    mover: &Mover,
+) -> (Reason, Ending) {
+    let mut watch = Watch { node, id, server, asked: VecDeque::new(), silent_since: None, parting: None };
+    let waiting = host.buffer.whole().to_vec();
+    watch.host_lines(&waiting);
+    watch.client_lines(&client.buffer.whole().to_vec());
+    let mut stuck_since: Option<Instant> = None;
+    loop {
+        let held = host.buffer.held();
+        let from_client = client.pull(|lines| watch.client_lines(lines));
+        let from_host = host.pull(|lines| watch.host_lines(lines));
+        let (host_takes, client_takes) = (push(client, host), push(host, client));
+        if host.buffer.whole().is_empty() || host.buffer.held() < held {
+            stuck_since = None;
+        } else {
+            stuck_since.get_or_insert_with(Instant::now);
+        }
+        match from_host {
+            Pulled::Some | Pulled::Nothing => {}
+            Pulled::Overlong => return (Reason::HostOverlong, Ending::Both(b"")),
+            ended => {
+                push_last(host, client).await;
+                return match (watch.parting, ended) {
+                    (Some(HostLine::Bye), _) => (Reason::Served, Ending::Both(b"")),
+                    (Some(HostLine::Move), _) => (Reason::HostMoved, Ending::Both(b"")),
+                    (_, Pulled::Ended) => (Reason::HostEnded, Ending::Both(b"")),
+                    _ => (Reason::HostReset, Ending::Reset),
+                };
+            }
+        }
+        match from_client {
+            Pulled::Some | Pulled::Nothing => {}
+            Pulled::Overlong => return (Reason::ClientOverlong, Ending::Both(b"")),
+            Pulled::Reset => return (Reason::ClientReset, Ending::Reset),
+            _ => return (Reason::ClientLeft, Ending::Both(b"")),
+        }
+        if !host_takes {
+            return (Reason::HostReset, Ending::Reset);
+        }
+        if !client_takes {
+            return (Reason::ClientReset, Ending::Reset);
+        }
+        if from_client == Pulled::Some || from_host == Pulled::Some {
+            continue;
+        }
+        let client_interest = interest(client.buffer.has_room(), !host.buffer.whole().is_empty());
+        let host_interest = interest(host.buffer.has_room(), !client.buffer.whole().is_empty());
+        let silent_at = watch.silent_since.map(|since| since + SILENT);
+        let stuck_at = stuck_since.map(|since| since + STUCK);
+        let wake = [silent_at, stuck_at].into_iter().flatten().min();
+        tokio::select! {
+            () = ready(client, client_interest) => {}
+            () = ready(host, host_interest) => {}
+            () = mover.notify.notified() => {
+                push_last(host, client).await;
+                return (mover.reason(), Ending::Both(b"MOVE\r\n"));
+            }
+            () = async { match wake { Some(at) => sleep_until(at).await, None => std::future::pending().await } } => {
+                if silent_at.is_some_and(|at| at <= Instant::now()) {
+                    push_last(host, client).await;
+                    return (Reason::HostSilent, Ending::Both(b"MOVE\r\n"));
+                }
+                if stuck_at.is_some_and(|at| at <= Instant::now()) {
+                    return (Reason::ClientStuck, Ending::Reset);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderstile-node/src/session.rs
@@ -0,0 +1,407 @@
+//! One client's connection, from its first line to its final answer and its end.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use alderstile::facade::{Answer, Ask};
+use alderstile::interface::{GroupId, Micros, Outcome, RequestId, ServerId};
+use log::{debug, info};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+use crate::buffer::LineBuffer;
+use crate::discovery::server_id;
+use crate::node::{Descriptor, HostAt, Node};
+use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
+use crate::reason::Reason;
+use crate::relay::{self, Ending};
+
+/// A client that has sent no whole first line after this long is none.
+const FIRST_LINE: Duration = Duration::from_secs(10);
+/// The node stops waiting this long before the client does: its answer must still reach the client.
+const MARGIN: Duration = Duration::from_millis(10);
+/// The longest time that a client's wait may be: absurd figures must not overflow the clock.
+const LONGEST_WAIT_MS: u64 = 600_000;
+/// A connection that stood before this node's start is tried again this often where its host cannot be reached.
+const STANDING_RETRY: Duration = Duration::from_millis(250);
+/// How long an answer may wait for a client to take it.
+const ANSWER: Duration = Duration::from_millis(500);
+/// How long the node waits for the other side to end once it has said all: ending with bytes unread resets.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// A connection and the bytes that came on it.
+pub struct Side {
+    /// The connection.
+    pub stream: TcpStream,
+    /// What came and has not gone on.
+    pub buffer: LineBuffer,
+}
+
+/// What reading brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pulled {
+    /// Bytes.
+    Some,
+    /// Nothing now.
+    Nothing,
+    /// The other side has ended its sending.
+    Ended,
+    /// The connection broke.
+    Reset,
+    /// A line is too long.
+    Overlong,
+}
+
+impl Side {
+    /// A connection on which nothing has come yet.
+    pub fn new(stream: TcpStream) -> Self {
+        // Lines are short and wanted at once. A connection that can't be set so is broken and will say so.
+        stream.set_nodelay(true).unwrap_or_default();
+        Side { stream, buffer: LineBuffer::default() }
+    }
+
+    /// Reads what is there; the lines that became whole go to `seen`.
+    pub fn pull(&mut self, seen: impl FnOnce(&[u8])) -> Pulled {
+        let room = match self.buffer.room() {
+            Ok([]) => return Pulled::Nothing,
+            Ok(room) => room,
+            Err(_) => return Pulled::Overlong,
+        };
+        match self.stream.try_read(room) {
+            Ok(0) => Pulled::Ended,
+            Ok(count) => {
+                seen(self.buffer.filled(count));
+                Pulled::Some
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Pulled::Nothing,
+            Err(_) => Pulled::Reset,
+        }
+    }
+
+    /// Waits until a whole line is there.
+    async fn line(&mut self) -> Result<(), Pulled> {
+        while self.buffer.line().is_none() {
+            self.more().await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until more bytes have come.
+    async fn more(&mut self) -> Result<(), Pulled> {
+        loop {
+            if self.stream.readable().await.is_err() {
+                return Err(Pulled::Reset);
+            }
+            match self.pull(|_| {}) {
+                Pulled::Some => return Ok(()),
+                // Woken for nothing, or there is no room while the client must wait.
+                Pulled::Nothing if self.buffer.has_room() => {}
+                Pulled::Nothing => std::future::pending().await,
+                ended => return Err(ended),
+            }
+        }
+    }
+
+    /// Says a last line, ends the sending, and gives the other side a moment to end too.
+    pub async fn close_with(mut self, line: &[u8]) {
+        let said = timeout(ANSWER, async {
+            self.stream.write_all(line).await?;
+            self.stream.shutdown().await
+        });
+        if !matches!(said.await, Ok(Ok(()))) {
+            return;
+        }
+        let mut sink = [0; 512];
+        let _ended = timeout(LINGER, async {
+            while self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut sink) {
+                    Ok(0) => break,
+                    Err(error) if error.kind() != io::ErrorKind::WouldBlock => break,
+                    _ => {}
+                }
+            }
+        })
+        .await;
+    }
+
+    /// Ends the connection as a broken one ends.
+    pub fn reset(self) {
+        // Where the option can't be set the connection is gone already.
+        self.stream.set_zero_linger().unwrap_or_default();
+    }
+}
+
+/// Serves one connection.
+pub async fn run(node: Rc<Node>, stream: TcpStream) {
+    let mut client = Side::new(stream);
+    let began = Instant::now();
+    let mut pinged = false;
+    loop {
+        let first = timeout_at(began + FIRST_LINE, client.line()).await;
+        let arrived = Instant::now();
+        let reason = match first {
+            Ok(Ok(())) => None,
+            Ok(Err(Pulled::Overlong)) => Some(Reason::ClientOverlong),
+            Ok(Err(Pulled::Reset)) if !pinged => Some(Reason::ClientReset),
+            Ok(Err(_)) if pinged => Some(Reason::Pinged),
+            Ok(Err(_)) => Some(Reason::ClientLeft),
+            Err(_) => Some(Reason::ClientSilent),
+        };
+        if let Some(reason) = reason {
+            debug!("end code={reason}");
+            return;
+        }
+        let line = client.buffer.line().unwrap_or_default().to_vec();
+        client.buffer.consume_line();
+        match client_line(&line) {
+            Some(ClientLine::Ping) => {
+                pinged = true;
+                if !node.ready() || client.stream.write_all(b"PONG\r\n").await.is_err() {
+                    debug!("end code={}", Reason::Pinged);
+                    return;
+                }
+            }
+            Some(ClientLine::Open(open)) => {
+                return Session { node, line: &line, open, arrived, attempts: 0 }.run(client).await;
+            }
+            None => {
+                info!("end code={} line={:?}", Reason::ClientMalformed, String::from_utf8_lossy(&line));
+                return client.close_with(b"SYNTAX\r\n").await;
+            }
+        }
+    }
+}
+
+/// A client that waits for a host, and what it sent.
+struct Session<'a> {
+    node: Rc<Node>,
+    line: &'a [u8],
+    open: Open<'a>,
+    arrived: Instant,
+    attempts: u32,
+}
+
+/// A connection to a host that is up.
+struct Up {
+    id: RequestId,
+    server: ServerId,
+    name: Rc<str>,
+    host: Side,
+    _descriptor: Descriptor,
+}
+
+/// How a request was placed.
+enum Placed {
+    Up(Up),
+    /// Final answer: this line.
+    Answered(Reason, Vec<u8>),
+    ClientGone,
+}
+
+impl Session<'_> {
+    async fn run(mut self, mut client: Side) {
+        let wait = Duration::from_millis(self.open.wait_ms.min(LONGEST_WAIT_MS));
+        let deadline = self.arrived + wait.saturating_sub(MARGIN);
+        let placed = match self.open.at {
+            Some(at) => self.adopt(&mut client, server_id(&String::from_utf8_lossy(at)), deadline).await,
+            None => self.place(&mut client, deadline).await,
+        };
+        match placed {
+            Placed::Up(up) => self.serve(client, up).await,
+            Placed::Answered(reason, line) => {
+                self.log(reason, "-");
+                client.close_with(&line).await;
+            }
+            Placed::ClientGone => self.log(Reason::ClientGaveUp, "-"),
+        }
+    }
+
+    fn log(&self, reason: Reason, host: &str) {
+        let (id, attempts) = (String::from_utf8_lossy(self.open.id), self.attempts);
+        let class = String::from_utf8_lossy(self.open.class);
+        let ms = self.arrived.elapsed().as_millis();
+        info!("end code={reason} id={id} class={class} host={host} attempts={attempts} ms={ms}");
+    }
+
+    fn ask(&self, remaining: Duration) -> Ask {
+        let node = &self.node;
+        let class = node.config.classes.iter().position(|class| class.as_bytes() == self.open.class);
+        let group = self.open.group.map(group_number);
+        let grouped = node.config.settings.groups;
+        Ask {
+            // A class that the settings do not name is none of theirs.
+            class: class.and_then(|class| u16::try_from(class).ok()).unwrap_or(u16::MAX),
+            group: group.filter(|_| grouped).map(GroupId),
+            key: group.filter(|_| !grouped),
+            hint: self.open.hint,
+            remaining: micros(remaining),
+        }
+    }
+
+    /// Places a request where the decisions say, until it is up or answered.
+    async fn place(&mut self, client: &mut Side, deadline: Instant) -> Placed {
+        // The host's connection needs a descriptor too.
+        let Some(descriptor) = self.node.descriptor(1) else {
+            return Placed::Answered(Reason::NodeFull, b"BUSY\r\n".to_vec());
+        };
+        let mut descriptor = Some(descriptor);
+        let ask = self.ask(deadline.saturating_duration_since(Instant::now()));
+        let (id, mut answer) = self.node.decide(|facade, now| facade.pick(now, ask));
+        loop {
+            let (server, within) = match answer {
+                Answer::Try(server, within) => (server, within),
+                Answer::Refuse(None) => return Placed::Answered(Reason::Refused, b"BUSY\r\n".to_vec()),
+                Answer::Refuse(Some(wait)) => {
+                    let line = format!("BUSY {}\r\n", wait.0.div_ceil(1_000)).into_bytes();
+                    return Placed::Answered(Reason::Refused, line);
+                }
+                Answer::Fail => return Placed::Answered(Reason::Failed, b"FAILED\r\n".to_vec()),
+            };
+            self.attempts += 1;
+            let began = Instant::now();
+            let until = within.map_or(deadline, |span| deadline.min(began + Duration::from_micros(span.0)));
+            let (outcome, host) = match self.node.host(server) {
+                None => (Outcome::ConnectFailed, None),
+                Some(at) => match self.attempt_while_wanted(client, &at, until).await {
+                    Tried::ClientGone => {
+                        self.node.decide(|facade, now| facade.report_left(now, id));
+                        return Placed::ClientGone;
+                    }
+                    Tried::Up(host) => (Outcome::Ok, Some((host, at.name))),
+                    Tried::Failed(outcome) => (outcome, None),
+                },
+            };
+            if let Some((host, name)) = host {
+                self.node.decide(|facade, now| facade.report_up(now, id, micros(began.elapsed())));
+                let Some(descriptor) = descriptor.take() else { return Placed::ClientGone };
+                return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
+            }
+            debug!("attempt {outcome:?} at {server} after {} ms", began.elapsed().as_millis());
+            answer = self.node.decide(|facade, now| facade.report_failed(now, id, server, outcome));
+        }
+    }
+
+    /// Takes a connection back to the host where it stood before this node's start.
+    async fn adopt(&mut self, client: &mut Side, server: ServerId, deadline: Instant) -> Placed {
+        let Some(descriptor) = self.node.descriptor(1) else {
+            return Placed::Answered(Reason::NodeFull, b"BUSY\r\n".to_vec());
+        };
+        loop {
+            self.attempts += 1;
+            let tried = match self.node.host(server) {
+                Some(at) => (self.attempt_while_wanted(client, &at, deadline).await, at.name),
+                None => (Tried::Failed(Outcome::ConnectFailed), "".into()),
+            };
+            match tried {
+                (Tried::Up(host), name) => {
+                    let ask = self.ask(Duration::ZERO);
+                    let id = self.node.decide(|facade, now| facade.adopt(now, ask, server));
+                    return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
+                }
+                (Tried::ClientGone, _) => return Placed::ClientGone,
+                // What never ran may be tried again: the host may still be on its way up.
+                (Tried::Failed(outcome), _) if !outcome.may_have_run() => {
+                    let next = Instant::now() + STANDING_RETRY;
+                    if next < deadline {
+                        sleep_until(next).await;
+                        continue;
+                    }
+                }
+                _ => {}
+            }
+            return Placed::Answered(Reason::Failed, b"FAILED\r\n".to_vec());
+        }
+    }
+
+    /// One attempt, given up when the client leaves.
+    async fn attempt_while_wanted(&self, client: &mut Side, at: &HostAt, until: Instant) -> Tried {
+        let attempt = self.attempt(at, until);
+        tokio::pin!(attempt);
+        loop {
+            tokio::select! {
+                tried = &mut attempt => return tried,
+                more = client.more() => if more.is_err() {
+                    return Tried::ClientGone;
+                },
+            }
+        }
+    }
+
+    async fn attempt(&self, at: &HostAt, until: Instant) -> Tried {
+        let connect_until = until.min(Instant::now() + self.node.config.connect_timeout);
+        let Ok(Ok(stream)) = timeout_at(connect_until, TcpStream::connect(at.dial)).await else {
+            return Tried::Failed(Outcome::ConnectFailed);
+        };
+        let mut host = Side::new(stream);
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let line = self.open.for_host(self.line, u64::try_from(left).unwrap_or(u64::MAX));
+        match timeout_at(until, host.stream.write_all(&line)).await {
+            Ok(Ok(())) => {}
+            // Until the last byte is out nothing can have run.
+            _ => return Tried::Failed(Outcome::ConnectFailed),
+        }
+        match timeout_at(until, host.line()).await {
+            Err(_) => Tried::Failed(Outcome::Timeout),
+            Ok(Err(Pulled::Overlong)) => Tried::Failed(Outcome::Error),
+            Ok(Err(_)) => Tried::Failed(Outcome::Reset),
+            Ok(Ok(())) => match host_line(host.buffer.line().unwrap_or_default()) {
+                HostLine::Up => Tried::Up(host),
+                HostLine::Busy => Tried::Failed(Outcome::Full),
+                HostLine::Move => Tried::Failed(Outcome::Cancelled),
+                _ => Tried::Failed(Outcome::Error),
+            },
+        }
+    }
+
+    /// Passes `UP` and everything after it on, until one side ends.
+    async fn serve(&self, mut client: Side, up: Up) {
+        let Up { id, server, name, mut host, _descriptor } = up;
+        let mover = self.node.serve(id);
+        if self.node.leaving() {
+            mover.leaving.set(true);
+            mover.notify.notify_one();
+        }
+        let (reason, ending) = relay::run(&self.node, &mut client, &mut host, id, server, &mover).await;
+        self.node.unserve(id);
+        self.node.decide(|facade, now| match reason {
+            Reason::ClientLeft | Reason::ClientReset | Reason::ClientOverlong | Reason::ClientStuck => {
+                facade.report_left(now, id)
+            }
+            Reason::Served => facade.report_ended(now, id, server, Outcome::Ok),
+            Reason::Moved | Reason::NodeLeaving | Reason::HostMoved => {
+                facade.report_ended(now, id, server, Outcome::Cancelled)
+            }
+            _ => facade.report_ended(now, id, server, Outcome::Reset),
+        });
+        self.log(reason, &name);
+        match ending {
+            Ending::Both(last) => {
+                drop(host);
+                client.close_with(last).await;
+            }
+            Ending::Reset => {
+                host.reset();
+                client.reset();
+            }
+        }
+    }
+}
+
+/// What came of one attempt.
+enum Tried {
+    Up(Side),
+    Failed(Outcome),
+    ClientGone,
+}
+
+fn micros(span: Duration) -> Micros {
+    Micros(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// A client's or group's number: ids are 16 hexadecimal digits; others are mixed to a number.
+fn group_number(group: &[u8]) -> u64 {
+    let text = String::from_utf8_lossy(group);
+    u64::from_str_radix(&text, 16).unwrap_or_else(|_| server_id(&text).0)
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,193 @@
+//! The decisions in blocking style for a program that serves connections: ask where a client goes, report what
+//! came of it, wake up when something is due.
+//!
+//! A [`Facade`] keeps the timers and the numbers of requests, takes the time as an argument and decides nothing:
+//! every answer is the policy's.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crate::interface::*;
+use crate::policy::Policy;
+
+/// What a client asks for; its number is the facade's to give.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Its class, by its number.
+    pub class: u16,
+    /// Its group, where connections share work.
+    pub group: Option<GroupId>,
+    /// What it is about; the same for all tries of one client.
+    pub key: Option<u64>,
+    /// Its expected load in microseconds of work a second.
+    pub hint: Option<f64>,
+    /// How long the node may take to answer.
+    pub remaining: Micros,
+}
+
+/// What to do with a request that is owed an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Try this server, no longer than the time named or else until the client gives up.
+    Try(ServerId, Option<Micros>),
+    /// Answer: declined, a further try does no harm; perhaps not before the time named.
+    Refuse(Option<Micros>),
+    /// Answer: failed, nothing promised.
+    Fail,
+}
+
+/// What is due, whatever was asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chores {
+    /// Clients to be told to move.
+    pub moves: Vec<RequestId>,
+    /// Watch the server list from now on.
+    pub watch: bool,
+    /// Messages for all other nodes.
+    pub tell: Vec<Vec<u8>>,
+    /// Lines for people.
+    pub lines: Vec<String>,
+}
+
+/// The decisions of one node as plain calls.
+pub struct Facade {
+    policy: Policy,
+    timers: BinaryHeap<Reverse<(Micros, TimerToken)>>,
+    last_id: u64,
+    actions: Vec<Action>,
+    chores: Chores,
+}
+
+impl Facade {
+    /// A node that has just started and holds nothing.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        // A program that serves connections has no way to look at a server but to send it a client.
+        let settings = Settings { probes: false, ..settings };
+        let mut facade = Facade {
+            policy: Policy::new(settings, seed, now),
+            timers: BinaryHeap::new(),
+            last_id: 0,
+            actions: Vec::new(),
+            chores: Chores::default(),
+        };
+        facade.policy.start(&mut facade.actions);
+        facade.settle(now);
+        facade
+    }
+
+    /// A client asks to be served. Its number stands for it from now on.
+    pub fn pick(&mut self, now: Micros, ask: Ask) -> (RequestId, Answer) {
+        let request = self.number(ask);
+        let answer = self.hand(now, Event::Request(request));
+        // Every request is sent or answered at once where nothing is probed.
+        (request.id, answer.unwrap_or(Answer::Fail))
+    }
+
+    /// A connection that was open at a server before this node started, or that this node is to take there.
+    pub fn adopt(&mut self, now: Micros, ask: Ask, server: ServerId) -> RequestId {
+        let request = self.number(ask);
+        self.hand(now, Event::Open(request, server));
+        request.id
+    }
+
+    /// The attempt that was out has become a connection.
+    pub fn report_up(&mut self, now: Micros, id: RequestId, latency: Micros) {
+        self.hand(now, Event::Established { id, latency });
+    }
+
+    /// The attempt that was out has failed: what next?
+    pub fn report_failed(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+    ) -> Answer {
+        let event = Event::Ended { id, server, outcome, closed: false, report: Vec::new() };
+        self.hand(now, event).unwrap_or(Answer::Fail)
+    }
+
+    /// A connection has ended at its server's side, or because it was told to move.
+    pub fn report_ended(&mut self, now: Micros, id: RequestId, server: ServerId, outcome: Outcome) {
+        self.hand(now, Event::Ended { id, server, outcome, closed: true, report: Vec::new() });
+    }
+
+    /// The client has left; nothing is owed to it.
+    pub fn report_left(&mut self, now: Micros, id: RequestId) {
+        self.hand(now, Event::ClientGone(id));
+    }
+
+    /// The load of a connection now, in microseconds of work a second.
+    pub fn report_load(&mut self, now: Micros, id: RequestId, load: f64) {
+        self.hand(now, Event::LoadTold(id, load));
+    }
+
+    /// Milliseconds that a message takes at a server now.
+    pub fn report_delay(&mut self, now: Micros, server: ServerId, ms: f64) {
+        self.hand(now, Event::DelayTold(server, ms));
+    }
+
+    /// A server list has come, or a call for it has failed.
+    pub fn report_list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>) {
+        self.hand(now, Event::List(kind, entries));
+    }
+
+    /// Another node has sent a message.
+    pub fn report_peer(&mut self, now: Micros, from: u32, data: Vec<u8>) {
+        self.hand(now, Event::Peer(from, data));
+    }
+
+    /// Lets everything happen that is due, and hands over what is to be done.
+    pub fn tick(&mut self, now: Micros) -> Chores {
+        while let Some(&Reverse((due, token))) = self.timers.peek()
+            && due <= now
+        {
+            self.timers.pop();
+            self.hand(now, Event::Timer(token));
+        }
+        std::mem::take(&mut self.chores)
+    }
+
+    /// When [`Facade::tick`] is due next; any report may bring that forward.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|Reverse((due, _))| *due)
+    }
+
+    fn number(&mut self, ask: Ask) -> Request {
+        self.last_id += 1;
+        Request {
+            id: RequestId(self.last_id),
+            class: ask.class,
+            group: ask.group,
+            hint: ask.hint,
+            remaining: ask.remaining,
+            key: ask.key,
+            mid_flow: false,
+        }
+    }
+
+    fn hand(&mut self, now: Micros, event: Event) -> Option<Answer> {
+        self.policy.handle(now, event, &mut self.actions);
+        self.settle(now)
+    }
+
+    /// Sorts the actions into the answer, the timers and the chores.
+    fn settle(&mut self, now: Micros) -> Option<Answer> {
+        let mut answer = None;
+        for action in self.actions.drain(..) {
+            match action {
+                Action::Send(_, server, time_out) => answer = Some(Answer::Try(server, time_out)),
+                Action::Refuse(_, wait) => answer = Some(Answer::Refuse(wait)),
+                Action::Fail(_) => answer = Some(Answer::Fail),
+                Action::Move(id) => self.chores.moves.push(id),
+                Action::SetTimer(after, token) => self.timers.push(Reverse((now + after, token))),
+                Action::Watch => self.chores.watch = true,
+                Action::TellAll(data) => self.chores.tell.push(data),
+                Action::Log(line) => self.chores.lines.push(line),
+                // Never asked for: `new` says that nothing can be probed.
+                Action::Probe(_) => {}
+            }
+        }
+        answer
+    }
+}
--- a/crates/alderstile-drill/src/settings.rs
+++ b/src/settings.rs
@@ -1,19 +1,22 @@
-//! The settings of an instance: lines of `path=value`. Keys that are not needed are ignored.
+//! The settings of an instance: values by path. Keys that are not needed are ignored.
+//!
+//! The drill hands them over as lines of `path=value`, the node as nested JSON flattened to the same paths.
 
 use std::collections::HashMap;
 use std::str::FromStr;
 
-use alderstile::interface::*;
 use thiserror::Error;
 
+use crate::interface::*;
+
 /// What can be wrong with settings.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum SettingsError {
     /// A key that the decisions need is not there.
-    #[error("settings: the key {0} is missing")]
+    #[error("the key {0} is missing")]
     Missing(String),
     /// A value cannot be read or is out of range.
-    #[error("settings: the key {key} has the value {value:?}, which is not {wanted}")]
+    #[error("the key {key} has the value {value:?}, which is not {wanted}")]
     Bad {
         /// The key.
         key: String,
@@ -24,41 +27,62 @@
     },
 }
 
-struct Keys<'a>(HashMap<&'a str, &'a str>);
+/// Values by path, and the place that error messages name before each path.
+pub struct Keys {
+    values: HashMap<String, String>,
+    place: &'static str,
+}
+
+impl Keys {
+    /// Values found at `place`: a prefix of their paths in messages, perhaps empty.
+    pub fn new(place: &'static str, values: impl IntoIterator<Item = (String, String)>) -> Self {
+        Keys { values: values.into_iter().collect(), place }
+    }
+
+    /// Lines of `path=value`; others are ignored.
+    pub fn from_lines(text: &str) -> Self {
+        let pairs = text.lines().filter_map(|line| line.split_once('='));
+        Keys::new("settings.", pairs.map(|(key, value)| (key.to_owned(), value.to_owned())))
+    }
 
-impl<'a> Keys<'a> {
-    fn new(text: &'a str) -> Self {
-        Keys(text.lines().filter_map(|line| line.split_once('=')).collect())
+    /// The value as it stands.
+    pub fn text(&self, key: &str) -> Result<&str, SettingsError> {
+        let found = self.values.get(key).map(String::as_str);
+        found.ok_or_else(|| SettingsError::Missing(format!("{}{key}", self.place)))
     }
 
-    fn text(&self, key: &str) -> Result<&'a str, SettingsError> {
-        self.0.get(key).copied().ok_or_else(|| SettingsError::Missing(key.to_owned()))
+    /// An error that names the key with its place.
+    pub fn bad(&self, key: &str, value: &str, wanted: &'static str) -> SettingsError {
+        SettingsError::Bad { key: format!("{}{key}", self.place), value: value.to_owned(), wanted }
     }
 
-    fn read<T: FromStr>(&self, key: &str, wanted: &'static str) -> Result<T, SettingsError> {
+    /// The value, parsed.
+    pub fn read<T: FromStr>(&self, key: &str, wanted: &'static str) -> Result<T, SettingsError> {
         let value = self.text(key)?;
-        value.trim().parse().map_err(|_| bad(key, value, wanted))
+        value.trim().parse().map_err(|_| self.bad(key, value, wanted))
     }
 
-    fn micros(&self, key: &str) -> Result<Micros, SettingsError> {
+    /// A span.
+    pub fn micros(&self, key: &str) -> Result<Micros, SettingsError> {
         self.read(key, "a whole number of microseconds").map(Micros)
     }
 
-    fn flag(&self, key: &str) -> Result<bool, SettingsError> {
+    /// True or false.
+    pub fn flag(&self, key: &str) -> Result<bool, SettingsError> {
         self.read(key, "true or false")
     }
 
     /// A finite number that is not negative.
-    fn number(&self, key: &str) -> Result<f64, SettingsError> {
+    pub fn number(&self, key: &str) -> Result<f64, SettingsError> {
         let value: f64 = self.read(key, "a number")?;
         if value.is_finite() && value >= 0.0 {
             return Ok(value);
         }
-        Err(bad(key, self.text(key)?, "a finite number of zero or more"))
+        Err(self.bad(key, self.text(key)?, "a finite number of zero or more"))
     }
 
     /// One of the words named.
-    fn word<T: Copy>(
+    pub fn word<T: Copy>(
         &self,
         key: &str,
         words: &[(&str, T)],
@@ -66,31 +90,26 @@
     ) -> Result<T, SettingsError> {
         let value = self.text(key)?;
         let found = words.iter().find(|(word, _)| *word == value.trim());
-        found.map(|(_, meaning)| *meaning).ok_or_else(|| bad(key, value, wanted))
+        found.map(|(_, meaning)| *meaning).ok_or_else(|| self.bad(key, value, wanted))
     }
 
     /// A list of plain values; a key that is absent is an empty list.
-    fn list(&self, key: &str) -> Vec<&'a str> {
-        let value = self.0.get(key).copied().unwrap_or_default();
+    pub fn list(&self, key: &str) -> Vec<&str> {
+        let value = self.values.get(key).map(String::as_str).unwrap_or_default();
         value.split(',').map(str::trim).filter(|item| !item.is_empty()).collect()
     }
 }
 
-fn bad(key: &str, value: &str, wanted: &'static str) -> SettingsError {
-    SettingsError::Bad { key: key.to_owned(), value: value.to_owned(), wanted }
-}
-
 /// Reads the settings.
-pub fn parse(text: &str) -> Result<Settings, SettingsError> {
-    let keys = Keys::new(text);
+pub fn parse(keys: &Keys) -> Result<Settings, SettingsError> {
     let balancers = keys.read("balancers", "a whole number")?;
     if balancers == 0 {
-        return Err(bad("balancers", "0", "one or more"));
+        return Err(keys.bad("balancers", "0", "one or more"));
     }
     Ok(Settings {
         balancers,
         zone: keys.read("my_zone", "a zone's number")?,
-        classes: classes(&keys)?,
+        classes: classes(keys)?,
         must_ask: keys.word(
             "discovery",
             &[("automatic", false), ("subscribe", true)],
@@ -128,7 +147,7 @@
 }
 
 /// Turns a missing key into a value, and leaves a bad one bad.
-fn absent<T>(value: T) -> impl FnOnce(SettingsError) -> Result<T, SettingsError> {
+pub fn absent<T>(value: T) -> impl FnOnce(SettingsError) -> Result<T, SettingsError> {
     |error| match error {
         SettingsError::Missing(_) => Ok(value),
         bad => Err(bad),
@@ -147,12 +166,12 @@
             "retryable" => Semantics::Retryable,
             "dedup" => Semantics::Dedup(group()?),
             "fragile" => Semantics::Fragile,
-            other => return Err(bad(&key("semantics"), other, "retryable, dedup or fragile")),
+            other => return Err(keys.bad(&key("semantics"), other, "retryable, dedup or fragile")),
         };
         let message_aim = match message_aims.get(usize::from(i)) {
             Some(value) => match value.parse::<f64>() {
                 Ok(us) if us.is_finite() && us >= 0.0 => Some(Micros(us as u64)),
-                _ => return Err(bad("extra.message_aim", value, "microseconds for each class")),
+                _ => return Err(keys.bad("extra.message_aim", value, "microseconds for each class")),
             },
             None => None,
         };
