--- a/crates/alderstile-drill/src/host.rs
+++ b/crates/alderstile-drill/src/host.rs
@@ -30,7 +30,7 @@
         offset: usize,
     },
     /// An instance was given settings that cannot be used.
-    #[error("batch {batch}, instance {instance}: {error}")]
+    #[error("batch {batch}, instance {instance}: settings: {error}")]
     Settings {
         /// The batch.
         batch: u32,
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -128,9 +128,8 @@
     mover: &Mover,
 ) -> (Reason, Ending) {
     let mut watch = Watch { node, id, server, asked: VecDeque::new(), silent_since: None, parting: None };
-    let waiting = host.buffer.whole().to_vec();
-    watch.host_lines(&waiting);
-    watch.client_lines(&client.buffer.whole().to_vec());
+    watch.host_lines(host.buffer.whole());
+    watch.client_lines(client.buffer.whole());
     let mut stuck_since: Option<Instant> = None;
     loop {
         let held = host.buffer.held();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,7 +42,7 @@
     /// Lines of `path=value`; others are ignored.
     pub fn from_lines(text: &str) -> Self {
         let pairs = text.lines().filter_map(|line| line.split_once('='));
-        Keys::new("settings.", pairs.map(|(key, value)| (key.to_owned(), value.to_owned())))
+        Keys::new("", pairs.map(|(key, value)| (key.to_owned(), value.to_owned())))
     }
 
     /// The value as it stands.
