Where servers tell no delay, a set-up above the usual tells it, and nodes hear of it

Checked: a trace of all lines and set-up times. Lines of clients come back within 0.1 ms from a slow host too, so the relay cannot time messages; LOAD is all that hosts tell; what shows is the set-up, 66 to 374 ms at the slow host for 5 s against a median of 11 ms and a 95th percentile of 39 ms over 576 set-ups. The module lives on notes of delay that no host sends (Event::DelayTold, late() in src/policy.rs); a node that sends nothing there hears nothing. Change: Settings::tells_delay, off on sockets; then a set-up's time above the usual one is taken for the delay, and told to all nodes in 16 bytes. Where delays are told nothing changes.

--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -73,8 +73,6 @@
     pub zones: Vec<String>,
     /// How long a connection to a host may take.
     pub connect_timeout: Duration,
-    /// A message takes long from this time on: it is told then.
-    pub message_aim: Option<Duration>,
     /// What the decisions are told.
     pub settings: Settings,
 }
@@ -134,12 +132,6 @@
             classes: classes.collect::<Result<_, _>>()?,
             zones: set.list("zones").into_iter().map(str::to_owned).collect(),
             connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
-            message_aim: settings
-                .classes
-                .iter()
-                .filter_map(|class| class.message_aim)
-                .min()
-                .map(|aim| Duration::from_micros(aim.0)),
             settings,
         })
     }
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod buffer;
 pub mod clock;
 pub mod config;
-pub mod delay;
 pub mod discovery;
 pub mod listener;
 pub mod node;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -4,23 +4,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use alderstile::facade::Facade;
 use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
 use log::info;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::delay::Delays;
 use crate::discovery::{Health, List, server_id};
 use crate::reason::Reason;
 
 /// Descriptors that are no connections of clients or to hosts: the runtime's, the listener, discovery, peers, logs.
 const OWN_DESCRIPTORS: usize = 32;
-/// How often delays of messages are told.
-const DELAYS: Duration = Duration::from_secs(1);
 
 /// A server as this node reaches it.
 #[derive(Clone, Debug)]
@@ -55,11 +52,11 @@
     pub clock: Clock,
     /// A watch of the server list is wanted.
     pub ask_list: Notify,
-    /// What was seen of messages in this second.
-    pub delays: RefCell<Delays>,
     facade: RefCell<Facade>,
     hosts: RefCell<BTreeMap<ServerId, HostAt>>,
     movers: RefCell<BTreeMap<RequestId, Rc<Mover>>>,
+    /// What the running node sleeps until, and what wakes it earlier.
+    due: Cell<Option<Micros>>,
     wake: Notify,
     ready: Cell<bool>,
     leaving: Cell<bool>,
@@ -85,10 +82,10 @@
             config,
             clock,
             ask_list: Notify::new(),
-            delays: RefCell::default(),
             facade: RefCell::new(facade),
             hosts: RefCell::default(),
             movers: RefCell::default(),
+            due: Cell::default(),
             wake: Notify::new(),
             ready: Cell::new(false),
             leaving: Cell::new(false),
@@ -103,7 +100,13 @@
 
     /// Asks the decisions or reports to them, at this moment.
     pub fn decide<T>(&self, call: impl FnOnce(&mut Facade, Micros) -> T) -> T {
-        call(&mut self.facade.borrow_mut(), self.clock.now())
+        let mut facade = self.facade.borrow_mut();
+        let done = call(&mut facade, self.clock.now());
+        let due = facade.next_due();
+        if due.is_some_and(|due| self.due.get().is_none_or(|old| due < old)) {
+            self.wake.notify_one();
+        }
+        done
     }
 
     /// Takes in a list that discovery sent.
@@ -118,7 +121,6 @@
         self.decide(|facade, now| facade.report_list(now, kind, entries));
         // The list known may be old: who serves by it does so only where discovery is not to be had.
         self.ready.set(self.ready.get() || !self.hosts.borrow().is_empty());
-        self.wake.notify_one();
     }
 
     fn take_addresses(&self, list: &List) {
@@ -201,7 +203,6 @@
 
     /// Does what is due, for as long as the node runs.
     pub async fn run(self: Rc<Self>, tell: impl Fn(&[u8])) {
-        let mut next_delays = tokio::time::Instant::now() + DELAYS;
         loop {
             let chores = self.decide(|facade, now| facade.tick(now));
             for id in chores.moves {
@@ -214,22 +215,21 @@
             }
             chores.tell.iter().for_each(|data| tell(data));
             chores.lines.iter().for_each(|line| info!("{line}"));
-            let due = self.decide(|facade, _| facade.next_due()).map(|due| self.clock.moment(due).into());
+            self.due.set(self.decide(|facade, _| facade.next_due()));
+            let due = self.due.get().map(|due| self.clock.moment(due).into());
             tokio::select! {
-                () = tokio::time::sleep_until(due.unwrap_or(next_delays)) => {}
-                () = tokio::time::sleep_until(next_delays) => {
-                    next_delays += DELAYS;
-                    self.tell_delays();
-                }
+                () = sleep_until(due) => {}
+                // A report may bring something forward.
                 () = self.wake.notified() => {}
             }
         }
     }
+}
 
-    fn tell_delays(&self) {
-        let delays = self.delays.borrow_mut().take();
-        for (server, ms) in delays {
-            self.decide(|facade, now| facade.report_delay(now, server, ms));
-        }
+/// Sleeps until a moment; for ever where there is none.
+pub async fn sleep_until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => tokio::time::sleep_until(moment).await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -1,14 +1,12 @@
 //! Passes whole lines on between a client and its host, until one side ends or the client is moved.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use alderstile::interface::{RequestId, ServerId};
-use log::trace;
+use alderstile::interface::RequestId;
 use tokio::io::Interest;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
-use crate::node::{Mover, Node};
+use crate::node::{Mover, Node, sleep_until};
 use crate::protocol::{HostLine, host_line};
 use crate::reason::Reason;
 use crate::session::{Pulled, Side};
@@ -19,8 +17,6 @@
 const LAST_LINES: Duration = Duration::from_millis(500);
 /// A client that takes nothing for this long, while lines wait for it, is stuck.
 const STUCK: Duration = Duration::from_secs(10);
-/// Lines of a client whose return is timed; more are not asked for at once by any sound client.
-const TIMED: usize = 16;
 
 /// How both sides are ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,9 +31,6 @@
 struct Watch<'a> {
     node: &'a Node,
     id: RequestId,
-    server: ServerId,
-    /// When the client's lines came that have brought nothing back yet.
-    asked: VecDeque<Instant>,
     /// Since when a line of the client has brought nothing at all back.
     silent_since: Option<Instant>,
     /// The host's last word, if it was one of parting.
@@ -46,19 +39,14 @@
 
 impl Watch<'_> {
     fn client_lines(&mut self, lines: &[u8]) {
-        let now = Instant::now();
-        for _ in lines.split_inclusive(|byte| *byte == b'\n') {
-            self.silent_since.get_or_insert(now);
-            if self.asked.len() < TIMED {
-                self.asked.push_back(now);
-            }
+        if !lines.is_empty() {
+            self.silent_since.get_or_insert_with(Instant::now);
         }
     }
 
     fn host_lines(&mut self, lines: &[u8]) {
         for line in lines.split_inclusive(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r\n").unwrap_or(line);
-            trace!("host {} says {:?}", self.server, String::from_utf8_lossy(line));
             self.parting = None;
             match host_line(line) {
                 HostLine::Load(load) => {
@@ -66,13 +54,7 @@
                 }
                 parting @ (HostLine::Bye | HostLine::Move) => self.parting = Some(parting),
                 HostLine::Up => {}
-                _ => {
-                    self.silent_since = None;
-                    if let Some(asked) = self.asked.pop_front() {
-                        trace!("delay {} {:?}", self.server, asked.elapsed());
-                        self.node.delays.borrow_mut().add(self.server, asked.elapsed());
-                    }
-                }
+                _ => self.silent_since = None,
             }
         }
     }
@@ -124,10 +106,9 @@
     client: &mut Side,
     host: &mut Side,
     id: RequestId,
-    server: ServerId,
     mover: &Mover,
 ) -> (Reason, Ending) {
-    let mut watch = Watch { node, id, server, asked: VecDeque::new(), silent_since: None, parting: None };
+    let mut watch = Watch { node, id, silent_since: None, parting: None };
     watch.host_lines(host.buffer.whole());
     watch.client_lines(client.buffer.whole());
     let mut stuck_since: Option<Instant> = None;
@@ -181,7 +162,7 @@
                 push_last(host, client).await;
                 return (mover.reason(), Ending::Both(b"MOVE\r\n"));
             }
-            () = async { match wake { Some(at) => sleep_until(at).await, None => std::future::pending().await } } => {
+            () = sleep_until(wake) => {
                 if silent_at.is_some_and(|at| at <= Instant::now()) {
                     push_last(host, client).await;
                     return (Reason::HostSilent, Ending::Both(b"MOVE\r\n"));
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -274,7 +274,9 @@
                 },
             };
             if let Some((host, name)) = host {
-                self.node.decide(|facade, now| facade.report_up(now, id, micros(began.elapsed())));
+                let latency = began.elapsed();
+                info!("up host={name} ms={}", latency.as_micros() as f64 / 1e3);
+                self.node.decide(|facade, now| facade.report_up(now, id, micros(latency)));
                 let Some(descriptor) = descriptor.take() else { return Placed::ClientGone };
                 return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
             }
@@ -363,7 +365,7 @@
             mover.leaving.set(true);
             mover.notify.notify_one();
         }
-        let (reason, ending) = relay::run(&self.node, &mut client, &mut host, id, server, &mover).await;
+        let (reason, ending) = relay::run(&self.node, &mut client, &mut host, id, &mover).await;
         self.node.unserve(id);
         self.node.decide(|facade, now| match reason {
             Reason::ClientLeft | Reason::ClientReset | Reason::ClientOverlong | Reason::ClientStuck => {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -61,8 +61,9 @@
 impl Facade {
     /// A node that has just started and holds nothing.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        // A program that serves connections has no way to look at a server but to send it a client.
-        let settings = Settings { probes: false, ..settings };
+        // On sockets there is no way to look at a server but to send it a client, and none tells how long its
+        // messages take.
+        let settings = Settings { probes: false, tells_delay: false, ..settings };
         let mut facade = Facade {
             policy: Policy::new(settings, seed, now),
             timers: BinaryHeap::new(),
@@ -122,11 +123,6 @@
         self.hand(now, Event::LoadTold(id, load));
     }
 
-    /// Milliseconds that a message takes at a server now.
-    pub fn report_delay(&mut self, now: Micros, server: ServerId, ms: f64) {
-        self.hand(now, Event::DelayTold(server, ms));
-    }
-
     /// A server list has come, or a call for it has failed.
     pub fn report_list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>) {
         self.hand(now, Event::List(kind, entries));
@@ -148,8 +144,11 @@
         std::mem::take(&mut self.chores)
     }
 
-    /// When [`Facade::tick`] is due next; any report may bring that forward.
+    /// When [`Facade::tick`] is due next; any report may bring that forward, at most to the present.
     pub fn next_due(&self) -> Option<Micros> {
+        if self.chores != Chores::default() {
+            return Some(Micros(0));
+        }
         self.timers.peek().map(|Reverse((due, _))| *due)
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,8 @@
     pub may_tell: bool,
     /// What the weight of a listed server means.
     pub weights: Weights,
+    /// Servers tell how long messages take; otherwise only set-ups show that.
+    pub tells_delay: bool,
     /// Connections of one group share work.
     pub groups: bool,
     /// The figures of a load report, in order.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -190,7 +190,6 @@
     request: Request,
     deadline: Micros,
     stage: Stage,
-    attempts: u32,
     /// Probes it has waited for.
     looks: u32,
     tried: Vec<usize>,
@@ -207,7 +206,6 @@
             request,
             deadline: now + request.remaining,
             stage: Stage::Held,
-            attempts: 0,
             looks: 0,
             tried: Vec::new(),
             ran: None,
@@ -227,6 +225,8 @@
     /// The usual load of a connection, by class and over all.
     class_load: Vec<Mean>,
     usual_load: Mean,
+    /// What a set-up usually takes, at all servers.
+    usual_setup_ms: Mean,
     /// Connections that a warm server takes from this node in a second; nothing at first.
     intake: f64,
     retry_tokens: f64,
@@ -257,6 +257,7 @@
             conns: BTreeMap::new(),
             class_load: vec![Mean::default(); classes],
             usual_load: Mean::default(),
+            usual_setup_ms: Mean::default(),
             intake: 0.0,
             retry_tokens: RETRY_CAP,
             setups_out: 0,
@@ -281,18 +282,16 @@
 
     /// Takes in one event and adds what is to be done about it. Events that name what is unknown or has
     /// ended are ignored.
-    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::List(kind, entries) => self.list(kind, entries, actions),
+            Event::List(kind, entries) => self.list(kind, entries, out),
             Event::Request(request) => {
                 self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
-                self.attempt(now, Conn::new(now, request), actions);
+                self.attempt(now, Conn::new(now, request), out);
             }
             Event::Open(request, server) => self.open(now, request, server),
-            Event::Established { id, .. } => self.established(id),
-            Event::Ended { id, server, outcome, closed, .. } => {
-                self.ended(now, id, server, outcome, closed, actions)
-            }
+            Event::Established { id, latency } => self.established(now, id, latency, out),
+            Event::Ended { id, outcome, closed, .. } => self.ended(now, id, outcome, closed, out),
             Event::LoadTold(id, load) => self.load_told(id, load),
             Event::DelayTold(server, ms) => self.delay_told(now, server, ms),
             Event::ClientGone(id) => {
@@ -300,14 +299,14 @@
                     self.leave(&conn);
                 }
             }
-            Event::Timer(TOKEN_PERIOD) => self.period(now, actions),
+            Event::Timer(TOKEN_PERIOD) => self.period(now, out),
             Event::Timer(TOKEN_ASK) => {
                 self.asking = false;
-                actions.push(Action::Watch);
+                out.push(Action::Watch);
             }
-            Event::Timer(TimerToken(id)) => self.looked(now, RequestId(id & !TOKEN_LOOK), LOOKS, actions),
-            Event::Probed { server, report, .. } => self.probed(now, server, &report, actions),
-            Event::Peer(..) => {}
+            Event::Timer(TimerToken(id)) => self.looked(now, RequestId(id & !TOKEN_LOOK), LOOKS, out),
+            Event::Probed { server, report, .. } => self.probed(now, server, &report, out),
+            Event::Peer(_, data) => self.heard(now, &data),
         }
     }
 
@@ -479,10 +478,8 @@
     }
 
     fn load_told(&mut self, id: RequestId, load: f64) {
-        if !is_load(&load) {
-            return;
-        }
-        let Some(mut conn) = self.conns.remove(&id) else { return };
+        let conn = is_load(&load).then(|| self.conns.remove(&id));
+        let Some(mut conn) = conn.flatten() else { return };
         if conn.told.is_none() {
             self.learn(&conn.request, Some(load));
         }
@@ -493,17 +490,14 @@
     }
 
     fn delay_told(&mut self, now: Micros, server: ServerId, ms: f64) {
-        let Some(&s) = self.by_id.get(&server) else { return };
-        if !(0.0..=DELAY_LIMIT_MS).contains(&ms) {
-            return;
-        }
+        let known = self.by_id.get(&server).filter(|_| (0.0..=DELAY_LIMIT_MS).contains(&ms));
+        let Some(&s) = known else { return };
         let span = Micros((ms * 1_000.0) as u64);
-        let growth = match self.servers[s].delay {
-            Some(last) if now < last.at + DELAY_FRESH && now > last.at => {
-                (span.as_secs_f64() - last.span.as_secs_f64()) / (now - last.at).as_secs_f64()
-            }
-            _ => 0.0,
-        };
+        let last = self.servers[s].delay.filter(|last| now < last.at + DELAY_FRESH && now > last.at);
+        let grown =
+            |last: Delay| (span.as_secs_f64() - last.span.as_secs_f64()) / (now - last.at).as_secs_f64();
+        // Set-ups at odd moments tell nothing of a growth.
+        let growth = last.filter(|_| self.set.tells_delay).map_or(0.0, grown);
         self.servers[s].delay = Some(Delay { span, at: now, growth });
     }
 
@@ -524,7 +518,7 @@
         // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
         // what leaves that comes too late (additive increase, multiplicative decrease).
         let open = f64::from(self.setups_out) < self.setups_allowed;
-        let more = open && conn.attempts < self.set.max_attempts && now < conn.deadline;
+        let more = open && (conn.tried.len() as u32) < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
         };
@@ -533,7 +527,6 @@
             return;
         }
         conn.stage = Stage::Trying(s);
-        conn.attempts += 1;
         conn.sent = now;
         conn.tried.push(s);
         self.servers[s].permits = self.servers[s].permits.saturating_sub(1);
@@ -583,22 +576,17 @@
         self.servers[s].seen.filter(|(_, at)| now < *at + SEEN_FRESH).map(|(ratio, _)| ratio)
     }
 
-    fn aim(&self, conn: &Conn) -> Micros {
-        self.set.classes.get(conn.request.class as usize).map_or(PERIOD, |class| class.aim)
-    }
-
     /// The final answer for a request that is given up: at once, so that the client can come again.
     fn give_up(&mut self, conn: &Conn, out: &mut Vec<Action>) {
         let class = self.set.classes.get(conn.request.class as usize);
-        let harmless = match class.map(|c| c.semantics) {
-            Some(Semantics::Retryable | Semantics::Dedup(DedupGroup::All)) => true,
-            _ => conn.ran.is_none(),
-        };
-        if !harmless {
+        let semantics = class.map(|c| c.semantics);
+        let anywhere = matches!(semantics, Some(Semantics::Retryable | Semantics::Dedup(DedupGroup::All)));
+        if !anywhere && conn.ran.is_some() {
             return out.push(Action::Fail(conn.request.id));
         }
         // Spread out, or those turned away together would come back together.
-        let wait = self.aim(conn).min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
+        let aim = class.map_or(PERIOD, |class| class.aim);
+        let wait = aim.min(self.set.max_retry_after).scale(0.5 + 0.5 * self.rng.random::<f64>());
         out.push(Action::Refuse(conn.request.id, self.set.retry_after.then_some(wait)));
     }
 
@@ -616,7 +604,6 @@
         // Nothing lands where messages are late: it would earn nothing there and keep the others late. Where
         // all are late the fleet is full and the request is refused.
         let open = |&s: &usize| self.usable(now, s, conn) && !self.late(now, s) && self.has_room(s, conn);
-        let open: Vec<usize> = (0..self.servers.len()).filter(open).collect();
         let draw = |s: usize| shared_chance(ticket, self.servers[s].entry.id);
         let rank = |s: usize| {
             let server = &self.servers[s];
@@ -631,14 +618,8 @@
             let landing = self.landing(now, s, mean, group);
             ((conn.tried.contains(&s), paused, crowded, !joins, !near, landing, unseen, !draw(s)), s)
         };
-        open.iter().map(|&s| rank(s)).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
-    }
-
-    /// Where the lowest value stands; chance decides between equals.
-    fn lowest(&mut self, values: &[f64]) -> Option<usize> {
-        let lowest = values.iter().copied().fold(f64::INFINITY, f64::min);
-        let ties: Vec<usize> = (0..values.len()).filter(|&i| values[i] == lowest).collect();
-        (!ties.is_empty()).then(|| ties[self.rng.random_range(0..ties.len())])
+        let open = (0..self.servers.len()).filter(open);
+        open.map(rank).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
     }
 
     /// Whether a server is below the record at which it was full. Where servers fill up, the last of the room
@@ -679,18 +660,14 @@
         match class.semantics {
             Semantics::Retryable => true,
             Semantics::Fragile => false,
-            Semantics::Dedup(group) => {
-                let same = match group {
-                    DedupGroup::All => true,
-                    DedupGroup::Zone => first.zone == server.entry.zone,
-                    DedupGroup::Cell => first.cell == server.entry.cell,
-                };
-                same && now < sent + class.dedup_window
-            }
+            Semantics::Dedup(_) if now >= sent + class.dedup_window => false,
+            Semantics::Dedup(DedupGroup::All) => true,
+            Semantics::Dedup(DedupGroup::Zone) => first.zone == server.entry.zone,
+            Semantics::Dedup(DedupGroup::Cell) => first.cell == server.entry.cell,
         }
     }
 
-    fn established(&mut self, id: RequestId) {
+    fn established(&mut self, now: Micros, id: RequestId, latency: Micros, out: &mut Vec<Action>) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
@@ -701,20 +678,36 @@
         self.learn(&request, request.hint);
         self.servers[s].accepted += 1;
         self.servers[s].shut = false;
+        if !self.set.tells_delay {
+            self.setup_took(now, s, latency, out);
+        }
     }
 
-    fn ended(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        server: ServerId,
-        outcome: Outcome,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
+    /// Guards against a slow server that draws new work and keeps its clients because nothing tells that its
+    /// messages are late: what a set-up takes above the usual is taken for what a message waits there. One
+    /// node's set-ups are few, so the others hear of it.
+    fn setup_took(&mut self, now: Micros, s: usize, latency: Micros, out: &mut Vec<Action>) {
+        let (id, took) = (self.servers[s].entry.id, latency.as_secs_f64() * 1e3);
+        let usual = self.usual_setup_ms.0.unwrap_or(took);
+        // A slow server must not pass for usual, but where all are slow that is the usual soon.
+        self.usual_setup_ms.add(took.min(2.0 * usual));
+        let waits = (took - usual).max(0.0);
+        self.delay_told(now, id, waits);
+        if self.set.may_tell && self.late(now, s) {
+            out.push(Action::TellAll([id.0.to_le_bytes(), waits.to_le_bytes()].concat()));
+        }
+    }
+
+    /// Another node saw messages wait long: the server's number and the milliseconds, in 16 bytes.
+    fn heard(&mut self, now: Micros, data: &[u8]) {
+        let ([id, span], []) = data.as_chunks() else { return };
+        self.delay_told(now, ServerId(u64::from_le_bytes(*id)), f64::from_le_bytes(*span));
+    }
+
+    fn ended(&mut self, now: Micros, id: RequestId, outcome: Outcome, closed: bool, out: &mut Vec<Action>) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.leave(&conn);
-        if let Some(&s) = self.by_id.get(&server) {
+        if let Some(s) = conn.stage.server() {
             let failed = matches!(outcome, Outcome::Error | Outcome::Timeout);
             if failed && conn.stage.trying() && !self.servers[s].shut {
                 self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
@@ -850,7 +843,12 @@
         for _ in 0..limit as usize {
             // The connection that comes closest to what is still to go, while that brings it closer.
             let gaps: Vec<f64> = open.iter().map(|(load, _)| (load - excess).abs()).collect();
-            let Some(i) = self.lowest(&gaps).filter(|&i| gaps[i] < excess.abs()) else { break };
+            let lowest = gaps.iter().copied().fold(f64::INFINITY, f64::min);
+            if lowest >= excess.abs() {
+                break;
+            }
+            let ties: Vec<usize> = (0..gaps.len()).filter(|&i| gaps[i] == lowest).collect();
+            let i = ties[self.rng.random_range(0..ties.len())];
             let (load, id) = open.swap_remove(i);
             excess -= load;
             if let Some(conn) = self.conns.get_mut(&id) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -131,6 +131,7 @@
             ],
             "silent, nominal, rough or live",
         )?,
+        tells_delay: keys.flag("extra.tells_delay").or_else(absent(true))?,
         groups: keys.flag("extra.groups").or_else(absent(false))?,
         report_fields: (keys.list("load_info.columns").iter())
             .map(|field| match *field {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -740,3 +740,74 @@
     node.ask(request(5));
     assert_eq!(node.where_is(5), node.where_is(3));
 }
+
+/// Sockets tell no delay of messages; nodes may talk.
+fn untold() -> Settings {
+    Settings { tells_delay: false, may_tell: true, ..settings() }
+}
+
+/// Two nodes whose set-ups usually take 10 ms; the first has just seen one of 200 ms at server 1.
+fn after_a_slow_set_up(settings: Settings) -> (Node, Vec<Vec<u8>>) {
+    let mut node = Node::new(settings, 2);
+    for id in 1..=6 {
+        node.ask(request(id));
+        node.establish(id);
+    }
+    for id in 10..=14 {
+        node.open(id, 2);
+    }
+    node.ask(request(20));
+    assert_eq!(node.where_is(20), Some(1));
+    node.establish_after(20, ms(200));
+    let told = node.last.iter().filter_map(|action| match action {
+        Action::TellAll(data) => Some(data.clone()),
+        _ => None,
+    });
+    let told = told.collect();
+    (node, told)
+}
+
+#[test]
+fn where_no_delay_is_told_a_slow_set_up_tells_it() {
+    // Found on the first slow days on sockets: a host nine times slower drew new clients and kept those it had.
+    let (mut node, told) = after_a_slow_set_up(untold());
+    assert_eq!(told.len(), 1);
+    node.ask(request(21));
+    assert_eq!(node.where_is(21), Some(2), "nothing new lands there");
+    assert!(!periods(&mut node, 1).is_empty(), "and those it holds are moved");
+    let (mut node, told) = after_a_slow_set_up(settings());
+    assert!(told.is_empty(), "where delays are told a set-up tells nothing");
+    node.ask(request(21));
+    assert_eq!(node.where_is(21), Some(1));
+}
+
+#[test]
+fn a_set_up_as_slow_as_all_others_tells_nothing() {
+    // Guards against a fleet that is slow as a whole: refusing everyone would be worse than being late.
+    let mut node = Node::new(untold(), 2);
+    for id in 1..=40 {
+        node.ask(request(id));
+        node.establish_after(id, ms(200));
+    }
+    node.ask(request(50));
+    assert!(node.where_is(50).is_some());
+}
+
+#[test]
+fn what_another_node_saw_counts_and_rubbish_does_not() {
+    let (_, told) = after_a_slow_set_up(untold());
+    let mut node = Node::new(untold(), 2);
+    (1..=4).for_each(|id| node.open(id, 2));
+    let mut unknown = told[0].clone();
+    unknown[0] ^= 0xff;
+    let mut absurd = told[0].clone();
+    absurd[8..].copy_from_slice(&f64::NAN.to_le_bytes());
+    for data in [Vec::new(), told[0][..15].to_vec(), [told[0].clone(), vec![0]].concat(), unknown, absurd] {
+        node.event(Event::Peer(1, data));
+    }
+    node.ask(request(10));
+    assert_eq!(node.where_is(10), Some(1));
+    node.event(Event::Peer(1, told[0].clone()));
+    node.ask(request(11));
+    assert_eq!(node.where_is(11), Some(2));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,6 +27,7 @@
         probes: false,
         may_tell: false,
         weights: Weights::None,
+        tells_delay: true,
         groups: false,
         report_fields: Vec::new(),
         cold: ms(10_000),
@@ -140,12 +141,16 @@
     }
 
     pub fn establish(&mut self, id: u64) {
+        self.establish_after(id, ms(10));
+    }
+
+    pub fn establish_after(&mut self, id: u64, latency: Micros) {
         if let Some(held) = self.held.get_mut(&RequestId(id))
             && let Some(server) = held.out_at
         {
             held.open = true;
             held.ran.get_or_insert((server, held.sent));
-            self.event(Event::Established { id: RequestId(id), latency: ms(10) });
+            self.event(Event::Established { id: RequestId(id), latency });
         }
     }
 
