--- a/crates/alderstile-drill/src/wire.rs
+++ b/crates/alderstile-drill/src/wire.rs
@@ -352,9 +352,10 @@
                 self.bytes.put_u32_le(u32::MAX);
                 self.text(data);
             }
-            Action::Log(text) => {
+            Action::Log(server, line) => {
+                let about = server.map_or_else(String::new, |server| format!("server {server}: "));
                 self.code(10, instance);
-                self.text(text.as_bytes());
+                self.text(format!("{about}{line}").as_bytes());
             }
         }
     }
--- a/crates/alderstile-drill/tests/codec.rs
+++ b/crates/alderstile-drill/tests/codec.rs
@@ -164,7 +164,7 @@
         Action::Watch,
         Action::Probe(ID),
         Action::TellAll(vec![1, 2]),
-        Action::Log("ok".to_owned()),
+        Action::Log(None, "ok".to_owned()),
     ];
     actions.iter().for_each(|action| reply.push(3, action));
     let id = 7u64.to_le_bytes();
--- a/crates/alderstile-node/src/buffer.rs
+++ b/crates/alderstile-node/src/buffer.rs
@@ -19,8 +19,6 @@
     whole: usize,
     /// Where the bytes end that have come.
     end: usize,
-    /// The last byte that went on was inside a line.
-    inside: bool,
 }
 
 impl LineBuffer {
@@ -73,11 +71,7 @@
 
     /// Bytes of whole lines have gone on.
     pub fn consume(&mut self, count: usize) {
-        let count = count.min(self.whole - self.start);
-        if count > 0 {
-            self.start += count;
-            self.inside = self.data[self.start - 1] != b'\n';
-        }
+        self.start += count.min(self.whole - self.start);
         if self.start == self.end {
             (self.start, self.whole, self.end) = (0, 0, 0);
             if self.data.len() > SMALL {
@@ -94,11 +88,6 @@
         }
     }
 
-    /// The rest of a line of which some bytes have gone on.
-    pub fn rest_of_line(&self) -> usize {
-        if self.inside { self.line().map_or(0, |line| line.len() + 2) } else { 0 }
-    }
-
     /// Bytes held, whole lines or not.
     pub fn held(&self) -> usize {
         self.end - self.start
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -146,6 +146,11 @@
         self.hosts.borrow().get(&server).cloned()
     }
 
+    /// The name of a server; its number once it is listed no more.
+    pub fn host_name(&self, server: ServerId) -> Rc<str> {
+        self.host(server).map_or_else(|| format!("{:016x}", server.0).into(), |host| host.name)
+    }
+
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
         self.ready.get() && !self.leaving.get()
@@ -214,7 +219,12 @@
                 self.ask_list.notify_one();
             }
             chores.tell.iter().for_each(|data| tell(data));
-            chores.lines.iter().for_each(|line| info!("{line}"));
+            for (server, line) in chores.lines {
+                match server {
+                    Some(server) => info!("host {}: {line}", self.host_name(server)),
+                    None => info!("{line}"),
+                }
+            }
             self.due.set(self.decide(|facade, _| facade.next_due()));
             let due = self.due.get().map(|due| self.clock.moment(due).into());
             tokio::select! {
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -71,8 +71,8 @@
     true
 }
 
-/// Writes all that waits for the client, if it takes that soon.
-async fn push_last(host: &mut Side, client: &Side) {
+/// Writes all that waits for the client; false if it does not take that soon.
+async fn push_last(host: &mut Side, client: &Side) -> bool {
     let _late = tokio::time::timeout(LAST_LINES, async {
         while push(host, client) && !host.buffer.whole().is_empty() {
             if client.stream.writable().await.is_err() {
@@ -81,6 +81,16 @@
         }
     })
     .await;
+    host.buffer.whole().is_empty()
+}
+
+/// Sends the client away, between two lines: `MOVE` must not stand inside one that it has not taken whole.
+async fn send_away(host: &mut Side, client: &Side, reason: Reason) -> (Reason, Ending) {
+    if push_last(host, client).await {
+        (reason, Ending::Both(b"MOVE\r\n"))
+    } else {
+        (Reason::ClientStuck, Ending::Reset)
+    }
 }
 
 fn interest(read: bool, write: bool) -> Option<Interest> {
@@ -159,13 +169,11 @@
             () = ready(client, client_interest) => {}
             () = ready(host, host_interest) => {}
             () = mover.notify.notified() => {
-                push_last(host, client).await;
-                return (mover.reason(), Ending::Both(b"MOVE\r\n"));
+                return send_away(host, client, mover.reason()).await;
             }
             () = sleep_until(wake) => {
                 if silent_at.is_some_and(|at| at <= Instant::now()) {
-                    push_last(host, client).await;
-                    return (Reason::HostSilent, Ending::Both(b"MOVE\r\n"));
+                    return send_away(host, client, Reason::HostSilent).await;
                 }
                 if stuck_at.is_some_and(|at| at <= Instant::now()) {
                     return (Reason::ClientStuck, Ending::Reset);
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -280,7 +280,8 @@
                 let Some(descriptor) = descriptor.take() else { return Placed::ClientGone };
                 return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
             }
-            debug!("attempt {outcome:?} at {server} after {} ms", began.elapsed().as_millis());
+            let (name, ms) = (self.node.host_name(server), began.elapsed().as_millis());
+            debug!("attempt {outcome:?} at {name} after {ms} ms");
             answer = self.node.decide(|facade, now| facade.report_failed(now, id, server, outcome));
         }
     }
--- /dev/null
+++ b/crates/alderstile-node/tests/config.rs
@@ -0,0 +1,93 @@
+//! What is wrong with a configuration is said by naming the key.
+
+use std::path::Path;
+
+use alderstile_node::config::{Config, ConfigError};
+use serde_json::{Value, json};
+
+mod support;
+use support::config;
+
+fn error(value: Value) -> String {
+    Config::parse(value).expect_err("a faulty configuration").to_string()
+}
+
+#[test]
+fn a_whole_configuration_is_read() {
+    let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+    value["known"] = json!({"seq": 41, "whole": true, "hosts": [
+        {"host": "s-1", "dial": "127.0.0.1:9000", "site": "b", "class": "m2", "block": 3, "health": "draining",
+         "share": 1.0, "born_ms": 7}]});
+    let config = Config::parse(value).expect("fine");
+    assert_eq!((config.name.as_str(), config.sockets), ("n1", 200));
+    assert_eq!(config.classes, ["chat", "presence"]);
+    assert_eq!(config.zones, ["a", "b"]);
+    assert_eq!(config.settings.classes.len(), 2);
+    assert_eq!(config.settings.classes[1].message_aim.map(|aim| aim.0), Some(150_000));
+    let entry = config.known.entries(&config.zones)[0];
+    assert_eq!((entry.zone, entry.cell, entry.started.map(|at| at.0)), (1, 3, Some(7_000)));
+}
+
+#[test]
+fn the_faulty_key_is_named() {
+    for key in ["name", "listen", "discovery"] {
+        let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+        value.as_object_mut().and_then(|fields| fields.remove(key));
+        assert_eq!(error(value), format!("the key {key} is missing"));
+    }
+    let faults = [
+        (
+            "/listen",
+            json!("here"),
+            "the key listen has the value \"here\", which is not an address and a port",
+        ),
+        ("/peers", json!(["127.0.0.1:1", "x"]), "the key peers has the value \"x\""),
+        ("/seed", json!("xyz"), "the key seed has the value \"xyz\""),
+        ("/limits/sockets", json!("many"), "the key limits.sockets has the value \"many\""),
+        ("/settings/balancers", json!(0), "the key settings.balancers has the value \"0\""),
+        ("/settings/classes/1/aim", json!("soon"), "the key settings.classes.1.aim has the value \"soon\""),
+        ("/settings/classes/0/name", Value::Null, "the key settings.classes.0.name is missing"),
+        ("/settings/allowed", Value::Null, "the key settings.allowed."),
+        ("/settings", Value::Null, "the key settings.classes.count is missing"),
+        ("/known", json!({"seq": "x"}), "the key known"),
+    ];
+    for (place, bad, wanted) in faults {
+        let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+        *value.pointer_mut(place).expect("a key of the configuration") = bad;
+        let told = error(value);
+        assert!(told.contains(wanted), "{place}: {told}");
+    }
+}
+
+#[test]
+fn what_may_be_left_out_has_a_default() {
+    let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+    for key in ["limits", "peers", "seed", "known"] {
+        value.as_object_mut().and_then(|fields| fields.remove(key));
+    }
+    let config = Config::parse(value).expect("fine");
+    assert_eq!((config.sockets, config.peers.len(), config.known.hosts.len()), (1_024, 0, 0));
+}
+
+#[test]
+fn a_file_that_is_none_is_told() {
+    let none = |_: &str| None;
+    assert!(matches!(Config::load(None, none), Err(ConfigError::NoFile)));
+    let missing = Config::load(Some(Path::new("/nowhere/config.json")), none);
+    assert!(missing.expect_err("no such file").to_string().contains("/nowhere/config.json"));
+}
+
+#[test]
+fn the_environment_stands_above_the_file() {
+    let path = std::env::temp_dir().join(format!("alderstile-config-{}.json", std::process::id()));
+    std::fs::write(&path, config("127.0.0.1:1", "127.0.0.1:2").to_string()).expect("written");
+    let env = |name: &str| match name {
+        "ROUTER_CONFIG" => Some(path.display().to_string()),
+        "ROUTER_LISTEN" => Some("127.0.0.9:90".to_owned()),
+        _ => None,
+    };
+    let read = Config::load(None, env);
+    std::fs::remove_file(&path).expect("removed");
+    let config = read.expect("fine");
+    assert_eq!((config.listen.to_string(), config.name.as_str()), ("127.0.0.9:90".to_owned(), "n1"));
+}
--- /dev/null
+++ b/crates/alderstile-node/tests/node.rs
@@ -0,0 +1,403 @@
+//! The node on loopback between stand-ins: each failure that sockets can bring, and what must come of it.
+
+use std::time::Duration;
+
+use alderstile_node::discovery::server_id;
+use alderstile_node::shutdown;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+mod support;
+use support::*;
+
+/// What must not come is looked for this long: a slow machine can only make such a check miss a fault.
+const MOMENT: Duration = Duration::from_millis(150);
+
+#[test]
+fn ready_only_when_a_list_has_come_in_however_many_pieces() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let setup = start(|_| {}).await;
+        let (first, mut watch) = setup.discovery.call().await;
+        assert_eq!(first, "GET /catalog/members?stream=1&index=0 HTTP/1.1");
+        assert_eq!(setup.ping().await, None, "no list yet");
+        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        let line = list(3, true, &[host.entry("up")]);
+        let (head, tail) = line.split_at(25);
+        for piece in ["\n", head, tail, "\n"] {
+            chunk(&mut watch, piece).await;
+        }
+        setup.until_ready().await;
+        setup.up(1, &host).await;
+    });
+}
+
+#[test]
+fn without_discovery_it_serves_by_the_list_it_knew() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let known = serde_json::json!({"seq": 5, "whole": true, "hosts": [host.entry("up")]});
+        let setup = start(|value| value["known"] = known).await;
+        let (first, mut call) = setup.discovery.call().await;
+        assert!(first.contains("index=5"), "{first}");
+        call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await;
+        setup.until_ready().await;
+        setup.up(1, &host).await;
+        // And asks again by itself.
+        setup.discovery.call().await;
+    });
+}
+
+#[test]
+fn lines_pass_unchanged_both_ways_until_the_host_says_bye() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let mut client = setup.open(1, "d=20000,g=5c0f6e1a2b3d4c59,x=1").await;
+        let mut server = host.accept().await;
+        let line = server.line().await.expect("the first line");
+        let wait = line.strip_prefix("OPEN 0000000000000001 0000000000000001 c=chat,d=").expect("unchanged");
+        let wait = wait.strip_suffix(",g=5c0f6e1a2b3d4c59,x=1").expect("unchanged");
+        assert!(wait.parse::<u64>().expect("a number") < 20_000, "the time that the node will wait");
+        server.send("UP 00ff\r\nLOAD 12.5\r\nhello\r\n").await;
+        for wanted in ["UP 00ff", "LOAD 12.5", "hello"] {
+            assert_eq!(client.line().await.as_deref(), Some(wanted));
+        }
+        client.send("M 1\r\nM ").await;
+        assert_eq!(server.line().await.as_deref(), Some("M 1"));
+        client.send("2\r\n").await;
+        assert_eq!(server.line().await.as_deref(), Some("M 2"));
+        server.send("BYE\r\n").await;
+        drop(server);
+        assert_eq!(client.line().await.as_deref(), Some("BYE"));
+        assert_eq!(client.line().await, None);
+    });
+}
+
+#[test]
+fn what_a_client_says_before_it_is_up_reaches_the_host_after() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let mut client = setup.open(1, "d=20000").await;
+        client.send("M 1\r\n").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        server.send("UP 00ff\r\n").await;
+        assert_eq!(server.line().await.as_deref(), Some("M 1"));
+    });
+}
+
+#[test]
+fn an_attempt_that_fails_is_followed_by_one_at_another_host_and_never_by_two() {
+    run(async {
+        for answer in ["ERR\r\n", "BUSY\r\n", "nonsense\r\n", "", "MOVE\r\n"] {
+            let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+            let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
+            let mut client = setup.open(1, "d=20000").await;
+            let (mut server, other) = tokio::select! {
+                server = hosts[0].accept() => (server, 1),
+                server = hosts[1].accept() => (server, 0),
+            };
+            server.line().await.expect("the first line");
+            let both = timeout(MOMENT, hosts[other].accept()).await;
+            assert!(both.is_err(), "two attempts are out");
+            server.send(answer).await;
+            drop(server);
+            let mut server = hosts[other].accept().await;
+            server.line().await.expect("the first line");
+            server.send("UP 02\r\n").await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 02"), "after {answer:?}");
+        }
+    });
+}
+
+#[test]
+fn a_host_that_refuses_connections_costs_the_client_nothing() {
+    run(async {
+        let (gone, host) = (Host::new("s-1").await, Host::new("s-2").await);
+        let (setup, _watch) = serving(&[&gone, &host]).await;
+        drop(gone.listener);
+        let mut open = Vec::new();
+        for id in 1..=4 {
+            open.push(setup.up(id, &host).await);
+        }
+    });
+}
+
+#[test]
+fn a_request_given_up_on_is_answered_and_a_late_up_reaches_nobody() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let mut client = setup.open(1, "d=300").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        let answer = client.line().await.expect("an answer");
+        assert!(answer.starts_with("BUSY"), "{answer}");
+        // The host sees the end of the attempt; what it says now goes nowhere.
+        assert_eq!(server.line().await, None);
+        server.0.get_mut().write_all(b"UP 00ff\r\n").await.unwrap_or_default();
+        assert_eq!(client.line().await, None);
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_or_connection_along() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let client = setup.open(1, "d=20000").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        drop(client);
+        assert_eq!(server.line().await, None);
+        let (client, mut server) = setup.up(2, &host).await;
+        drop(client);
+        assert_eq!(server.line().await, None);
+    });
+}
+
+#[test]
+fn an_end_passes_on_as_it_came() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        // A host that drops all of a node's connections is taken for lost; this one stays.
+        let _other = setup.up(9, &host).await;
+        let (mut client, server) = setup.up(1, &host).await;
+        drop(server);
+        assert!(!client.is_reset().await);
+        let (mut client, server) = setup.up(2, &host).await;
+        server.reset();
+        assert!(client.is_reset().await);
+        // The reset pauses the host, but where no other is left it is tried all the same.
+        let (client, mut server) = setup.up(3, &host).await;
+        client.reset();
+        assert!(server.is_reset().await);
+    });
+}
+
+#[test]
+fn clients_are_told_to_move_before_the_node_leaves_and_new_ones_are_still_answered() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        let leaving = spawn_local(shutdown::run(setup.node.clone(), setup.accepting));
+        while setup.node.ready() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        // Only half a line has come: MOVE must not stand inside it.
+        server.send("M 1\r\nhalf").await;
+        assert_eq!(client.line().await.as_deref(), Some("M 1"));
+        assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+        assert_eq!(client.line().await, None);
+        drop(client);
+        assert_eq!(server.line().await, None);
+        leaving.await.expect("left");
+        assert!(tokio::net::TcpStream::connect(setup.address).await.is_err());
+    });
+}
+
+#[test]
+fn a_client_that_comes_up_while_the_node_leaves_is_told_to_move() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let mut client = setup.open(1, "d=20000").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        setup.node.leave();
+        server.send("UP 00ff\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+        assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+    });
+}
+
+#[test]
+fn a_connection_from_before_the_run_goes_back_to_its_host() {
+    run(async {
+        let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+        let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
+        for id in 1..=4 {
+            let mut client = setup.open(id, "d=20000,at=s-2").await;
+            let mut server = hosts[1].accept().await;
+            server.line().await.expect("the first line");
+            server.send("UP 00ff\r\n").await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+            std::mem::forget((client, server));
+        }
+        // They are in the record: new ones go to the other.
+        setup.up(10, &hosts[0]).await;
+    });
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_that_drains_or_is_gone() {
+    run(async {
+        for health in ["draining", "removed"] {
+            let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+            let (setup, mut watch) = serving(&[&hosts[0]]).await;
+            let (mut client, mut server) = setup.up(1, &hosts[0]).await;
+            chunk(&mut watch, &list(2, false, &[hosts[0].entry(health), hosts[1].entry("up")])).await;
+            while setup.node.host(server_id("s-2")).is_none() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            let mut open = Vec::new();
+            for id in 10..16 {
+                open.push(setup.up(id, &hosts[1]).await);
+            }
+            // What is open stays open.
+            client.send("M 1\r\n").await;
+            assert_eq!(server.line().await.as_deref(), Some("M 1"));
+        }
+    });
+}
+
+#[test]
+fn bad_input_ends_its_own_connection_and_no_other() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, mut watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        for rubbish in
+            ["GET / HTTP/1.1\r\n", "\r\n", "OPEN\r\n", "OPEN a b c=chat,d=x\r\n", "\u{0}\u{7f}\r\n"]
+        {
+            let mut bad = setup.client().await;
+            bad.send(rubbish).await;
+            assert_eq!(bad.line().await.as_deref(), Some("SYNTAX"), "{rubbish:?}");
+        }
+        let mut long = setup.client().await;
+        long.0.get_mut().write_all(&[b'x'; 5_000]).await.unwrap_or_default();
+        assert_eq!(long.line().await, None);
+        // A client that is up, and one that waits, with a line that never ends.
+        let (mut up, _server) = setup.up(2, &host).await;
+        up.0.get_mut().write_all(&[b'x'; 5_000]).await.unwrap_or_default();
+        assert_eq!(up.line().await, None);
+        let (mut up, mut mad) = setup.up(3, &host).await;
+        mad.0.get_mut().write_all(&[b'x'; 5_000]).await.unwrap_or_default();
+        assert_eq!(up.line().await, None);
+        chunk(&mut watch, "{\"seq\":\"none\"}\n").await;
+        assert_eq!(watch.line().await, None, "that watch is given up");
+        let (_, _call) = setup.discovery.call().await;
+        client.send("M 1\r\n").await;
+        assert_eq!(server.line().await.as_deref(), Some("M 1"));
+        server.send("M 1\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("M 1"));
+    });
+}
+
+#[test]
+fn a_client_that_ends_its_sending_has_left() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        client.send("M 1\r\n").await;
+        client.0.get_mut().shutdown().await.expect("ended");
+        assert_eq!(server.line().await.as_deref(), Some("M 1"), "its last line goes on");
+        assert_eq!(server.line().await, None);
+        assert_eq!(client.line().await, None);
+    });
+}
+
+#[test]
+fn a_client_whose_lines_bring_nothing_back_is_told_to_move() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        client.send("M 1\r\n").await;
+        // What the host says of itself is no return.
+        server.send("LOAD 3\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("LOAD 3"));
+        assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+        assert_eq!(client.line().await, None);
+    });
+}
+
+#[test]
+fn a_slow_reader_holds_its_host_back_and_loses_nothing() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        let line = "z".repeat(1_000);
+        // Far more than the node and the system hold: the host must be made to wait.
+        let total = 30_000;
+        let sending = spawn_local({
+            let line = line.clone();
+            async move {
+                for _ in 0..total {
+                    server.send(&format!("{line}\r\n")).await;
+                }
+                server.send("BYE\r\n").await;
+            }
+        });
+        sleep(MOMENT).await;
+        assert!(!sending.is_finished(), "nobody holds 30 MB for a client");
+        for _ in 0..total {
+            assert_eq!(client.line().await.as_deref(), Some(line.as_str()));
+        }
+        assert_eq!(client.line().await.as_deref(), Some("BYE"));
+    });
+}
+
+#[test]
+fn a_client_that_takes_nothing_is_never_sent_move_inside_a_line() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        let line = "z".repeat(1_000);
+        let flood = spawn_local({
+            let line = format!("{line}\r\n");
+            async move { while server.0.get_mut().write_all(line.as_bytes()).await.is_ok() {} }
+        });
+        sleep(MOMENT).await;
+        spawn_local(shutdown::run(setup.node.clone(), setup.accepting));
+        // The flood ends when the node has closed the host's side.
+        flood.await.expect("ended");
+        let mut rest = Vec::new();
+        let _reset = client.0.read_to_end(&mut rest).await;
+        let text = String::from_utf8(rest).expect("text");
+        let lines: Vec<&str> = text.split_inclusive("\r\n").collect();
+        for (i, got) in lines.iter().enumerate() {
+            let whole = *got == format!("{line}\r\n");
+            let last = i + 1 == lines.len() && (line.starts_with(got) || *got == "MOVE\r\n");
+            assert!(whole || last, "{got:?}");
+        }
+    });
+}
+
+#[test]
+fn at_the_limit_of_descriptors_clients_are_refused_at_once() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving_with(&[&host], |value| value["limits"]["sockets"] = 40.into()).await;
+        let mut open = Vec::new();
+        let answer = loop {
+            let mut client = setup.open(open.len() as u64 + 1, "d=20000").await;
+            tokio::select! {
+                answer = client.line() => break answer,
+                mut server = host.accept() => {
+                    server.line().await.expect("the first line");
+                    server.send("UP 00ff\r\n").await;
+                    assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+                    open.push((client, server));
+                }
+            }
+        };
+        assert_eq!(answer.as_deref(), Some("BUSY"));
+        assert!(open.len() >= 2);
+        // There is room again when one has gone.
+        open.pop();
+        // One is held for the client that comes next.
+        while setup.node.descriptors() > 2 * open.len() + 1 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        setup.up(100, &host).await;
+    });
+}
--- /dev/null
+++ b/crates/alderstile-node/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! Stand-ins for clients, hosts and discovery on loopback, written for these tests. Nothing here hangs on time:
+//! what must come is waited for, and only a test that is stuck runs into its limit.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use alderstile_node::config::Config;
+use alderstile_node::node::Node;
+use alderstile_node::{discovery, listener};
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// A configuration as the platform writes it.
+pub fn config(listen: &str, discovery: &str) -> Value {
+    let class = |name: &str| {
+        json!({"name": name, "aim": 300000, "give_up": 1200000, "group": "all", "semantics": "retryable",
+               "stream": true, "window": 5000000, "worth": 2.0})
+    };
+    json!({
+        "name": "n1", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 200},
+        "peers": ["127.0.0.1:7946", "127.0.0.1:7947"],
+        "known": {"seq": 0, "whole": true, "hosts": []},
+        "settings": {
+            "allowed": {"connect_timeout": 250000, "max_attempts": 3, "max_retry_after": 1000000,
+                        "may_tell": true, "probes": false, "retry_after": true},
+            "balancers": 2, "classes": [class("chat"), class("presence")], "discovery": "subscribe",
+            "extra": {"groups": false, "message_aim": [100000.0, 150000.0], "tells_delay": true},
+            "load_info": {"columns": [], "via": "silent"}, "my_zone": 0,
+            "obligations": {"cold": 8500000, "cold_from": 0.41, "fall_multiple": 4.0, "must_ask_in": 10000000,
+                            "overload_for": 1500000},
+            "weights": "silent", "zones": ["a", "b"],
+        },
+    })
+}
+
+/// Runs a test on one thread, as the node runs.
+pub fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let limited = async { timeout(Duration::from_secs(40), test).await.expect("stuck") };
+    LocalSet::new().block_on(&runtime, limited)
+}
+
+/// One end of a connection that speaks lines.
+pub struct Peer(pub BufReader<TcpStream>);
+
+impl Peer {
+    pub async fn connect(to: SocketAddr) -> Self {
+        Peer(BufReader::new(TcpStream::connect(to).await.expect("connected")))
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).await.expect("sent");
+    }
+
+    /// The next line without its end; none at the end of the connection.
+    pub async fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line).await {
+            Ok(0) | Err(_) => None,
+            Ok(_) => Some(line.strip_suffix("\r\n").expect("an end of line").to_owned()),
+        }
+    }
+
+    /// Whether the connection ends by being reset.
+    pub async fn is_reset(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.0.read_to_end(&mut rest).await.is_err()
+    }
+
+    pub fn reset(self) {
+        self.0.get_ref().set_zero_linger().expect("an open connection");
+    }
+}
+
+/// A host: the test answers for it.
+pub struct Host {
+    pub listener: TcpListener,
+    pub name: String,
+}
+
+impl Host {
+    pub async fn new(name: &str) -> Self {
+        Host { listener: TcpListener::bind("127.0.0.1:0").await.expect("a port"), name: name.to_owned() }
+    }
+
+    pub async fn accept(&self) -> Peer {
+        Peer(BufReader::new(self.listener.accept().await.expect("a connection").0))
+    }
+
+    /// Its line of the list.
+    pub fn entry(&self, health: &str) -> Value {
+        let dial = self.listener.local_addr().expect("bound").to_string();
+        json!({"host": self.name, "dial": dial, "site": "a", "class": "m", "block": 0, "health": health,
+               "share": 1.0, "born_ms": 0})
+    }
+}
+
+/// A line of the watch.
+pub fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
+    format!("{}\n", json!({"seq": seq, "whole": whole, "hosts": hosts}))
+}
+
+/// Discovery: the test writes its answers.
+pub struct Discovery(pub TcpListener);
+
+impl Discovery {
+    pub async fn new() -> Self {
+        Discovery(TcpListener::bind("127.0.0.1:0").await.expect("a port"))
+    }
+
+    /// Takes a call in; returns its first line and the connection, with nothing answered yet.
+    pub async fn call(&self) -> (String, Peer) {
+        let mut peer = Peer(BufReader::new(self.0.accept().await.expect("a call").0));
+        let first = peer.line().await.expect("a request");
+        while peer.line().await.is_some_and(|line| !line.is_empty()) {}
+        (first, peer)
+    }
+
+    /// Takes a call in and begins a watch with these pieces, each a chunk of its own.
+    pub async fn watch(&self, pieces: &[&str]) -> Peer {
+        let (_, mut peer) = self.call().await;
+        peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        for piece in pieces {
+            chunk(&mut peer, piece).await;
+        }
+        peer
+    }
+}
+
+pub async fn chunk(peer: &mut Peer, text: &str) {
+    peer.send(&format!("{:x}\r\n{text}\r\n", text.len())).await;
+}
+
+/// A node that runs, and the stand-ins round it.
+pub struct Setup {
+    pub node: Rc<Node>,
+    pub address: SocketAddr,
+    pub accepting: JoinHandle<()>,
+    pub discovery: Discovery,
+}
+
+/// Starts a node; `change` may change its configuration.
+pub async fn start(change: impl FnOnce(&mut Value)) -> Setup {
+    let discovery = Discovery::new().await;
+    let at = discovery.0.local_addr().expect("bound").to_string();
+    let mut value = config("127.0.0.1:0", &at);
+    change(&mut value);
+    let node = Rc::new(Node::new(Config::parse(value).expect("a fine configuration")));
+    let listener = listener::bind(node.config.listen).expect("a port");
+    let address = listener.local_addr().expect("bound");
+    spawn_local(discovery::run(node.clone()));
+    spawn_local(node.clone().run(|_| {}));
+    let accepting = spawn_local(listener::run(node.clone(), listener));
+    Setup { node, address, accepting, discovery }
+}
+
+/// A node that is ready, with these hosts; the watch stays open as long as what is returned with it.
+pub async fn serving(hosts: &[&Host]) -> (Setup, Peer) {
+    serving_with(hosts, |_| {}).await
+}
+
+pub async fn serving_with(hosts: &[&Host], change: impl FnOnce(&mut Value)) -> (Setup, Peer) {
+    let setup = start(change).await;
+    let entries: Vec<Value> = hosts.iter().map(|host| host.entry("up")).collect();
+    let watch = setup.discovery.watch(&[&list(1, true, &entries)]).await;
+    setup.until_ready().await;
+    (setup, watch)
+}
+
+impl Setup {
+    pub async fn client(&self) -> Peer {
+        Peer::connect(self.address).await
+    }
+
+    /// Asks as the front does.
+    pub async fn ping(&self) -> Option<String> {
+        let mut front = self.client().await;
+        front.send("PING\r\n").await;
+        front.line().await
+    }
+
+    pub async fn until_ready(&self) {
+        while self.ping().await.is_none() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// A client that has said its first line.
+    pub async fn open(&self, id: u64, more: &str) -> Peer {
+        let mut client = self.client().await;
+        client.send(&format!("OPEN {id:016x} {id:016x} c=chat,{more}\r\n")).await;
+        client
+    }
+
+    /// A client that is up at this host.
+    pub async fn up(&self, id: u64, host: &Host) -> (Peer, Peer) {
+        let mut client = self.open(id, "d=20000").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        server.send("UP 00ff\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+        (client, server)
+    }
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -45,8 +45,8 @@
     pub watch: bool,
     /// Messages for all other nodes.
     pub tell: Vec<Vec<u8>>,
-    /// Lines for people.
-    pub lines: Vec<String>,
+    /// Lines for people, and the server that each is about.
+    pub lines: Vec<(Option<ServerId>, String)>,
 }
 
 /// The decisions of one node as plain calls.
@@ -182,7 +182,7 @@
                 Action::SetTimer(after, token) => self.timers.push(Reverse((now + after, token))),
                 Action::Watch => self.chores.watch = true,
                 Action::TellAll(data) => self.chores.tell.push(data),
-                Action::Log(line) => self.chores.lines.push(line),
+                Action::Log(server, line) => self.chores.lines.push((server, line)),
                 // Never asked for: `new` says that nothing can be probed.
                 Action::Probe(_) => {}
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -330,6 +330,6 @@
     Probe(ServerId),
     /// Send a message to all other nodes.
     TellAll(Vec<u8>),
-    /// A line for people.
-    Log(String),
+    /// A line for people, and the server that it is about.
+    Log(Option<ServerId>, String),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -314,10 +314,10 @@
         }
     }
 
-    fn log(&mut self, line: String, out: &mut Vec<Action>) {
+    fn log(&mut self, of: Option<ServerId>, line: String, out: &mut Vec<Action>) {
         if self.log_left > 0 {
             self.log_left -= 1;
-            out.push(Action::Log(line));
+            out.push(Action::Log(of, line));
         }
     }
 
@@ -332,7 +332,7 @@
                 self.asking = true;
                 self.ask_failures += 1;
                 out.push(Action::SetTimer(wait, TOKEN_ASK));
-                self.log(format!("list: call failed, asking again in {} ms", wait.0 / 1_000), out);
+                self.log(None, format!("list: call failed, asking again in {} ms", wait.0 / 1_000), out);
             }
             return;
         }
@@ -364,12 +364,9 @@
 
     /// How far a server has warmed up, from nothing to one.
     fn warmth(&self, now: Micros, s: usize) -> f64 {
-        match self.servers[s].entry.started {
-            Some(started) if self.set.cold > Micros(0) => {
-                ((now - started).as_secs_f64() / self.set.cold.as_secs_f64()).min(1.0)
-            }
-            _ => 1.0,
-        }
+        let (started, cold) = (self.servers[s].entry.started, self.set.cold.as_secs_f64());
+        // No number, where nothing is divided by nothing, loses against one.
+        started.map_or(1.0, |started| ((now - started).as_secs_f64() / cold).min(1.0))
     }
 
     /// What this node may send a cold server in this period. What warm ones take of this node is at most what
@@ -504,8 +501,7 @@
 
     fn open(&mut self, now: Micros, request: Request, server: ServerId) {
         let Some(&s) = self.by_id.get(&server) else { return };
-        let mut conn = Conn::new(now, request);
-        conn.stage = Stage::Open(s);
+        let conn = Conn { stage: Stage::Open(s), ..Conn::new(now, request) };
         self.enter(&conn);
         self.learn(&request, request.hint);
         self.conns.insert(request.id, conn);
@@ -754,7 +750,7 @@
         server.shut |= dropped_all || matches!(outcome, Outcome::ConnectFailed | Outcome::Full);
         let (id, failures) = (server.entry.id, server.failures);
         if !paused && failures == PAUSE_TOLD {
-            self.log(format!("server {id}: paused again after {failures} failures, last {outcome:?}"), out);
+            self.log(Some(id), format!("paused again after {failures} failures, last {outcome:?}"), out);
         }
     }
 
@@ -781,7 +777,7 @@
         }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
-            if self.servers[s].entry.ready() {
+            if self.servers[s].entry.state != ServerState::Gone {
                 self.shed(now, s, mean, out);
             }
         }
@@ -815,9 +811,11 @@
         (record - manages * (1.0 - piled)).clamp(0.0, record)
     }
 
-    /// Sheds the excess of a server that has been above the bar for long enough, or is late.
+    /// Sheds the excess of a server that has been above the bar for long enough, or is late. One that drains
+    /// is to have no connections, whatever their load, when it stops: they would break with it.
     fn shed(&mut self, now: Micros, s: usize, mean: f64, out: &mut Vec<Action>) {
-        let reactive = self.reactive_excess(now, s, mean);
+        let (draining, held) = (!self.servers[s].entry.ready(), self.servers[s].conns.len() as f64);
+        let reactive = if draining { held } else { self.reactive_excess(now, s, mean) };
         let fair = mean * self.power(s);
         let record = self.record(s);
         let server = &mut self.servers[s];
@@ -830,7 +828,7 @@
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
             .filter(|(_, conn)| matches!(conn.stage, Stage::Open(_)))
-            .filter_map(|(&id, conn)| Some((self.freed(s, conn)?, id)))
+            .filter_map(|(&id, conn)| Some((if draining { 1.0 } else { self.freed(s, conn)? }, id)))
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         // A late server may lose its last connection too.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -831,3 +831,16 @@
     assert_eq!(second(untold()), Some(1), "the other one's turn, though it is a little heavier");
     assert_eq!(second(settings()), Some(2), "the record alone decides where delays are told");
 }
+
+#[test]
+fn clients_of_a_draining_server_are_told_to_move_before_it_stops() {
+    // Asked for by the operators: connections last long, and those that are left break when their server stops.
+    let mut node = Node::new(settings(), 2);
+    (1..=8).for_each(|id| node.open(id, 1));
+    // An idle connection would break as well.
+    (1..=4).for_each(|id| told(&mut node, id, 0.0));
+    node.list(ListKind::Delta, vec![ServerEntry { state: ServerState::Draining, ..entry(1) }]);
+    assert_eq!(periods(&mut node, 1).len(), 4, "half of them at once, not all");
+    assert_eq!(periods(&mut node, 3).len(), 4, "and all soon");
+    assert_eq!(counts(&node, 1..9).get(&1), None);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -263,7 +263,7 @@
                 Action::Probe(_) => assert!(self.settings.probes),
                 Action::TellAll(data) => assert!(self.settings.may_tell && data.len() <= 256),
                 Action::Watch => assert!(self.settings.must_ask),
-                Action::Log(line) => assert!(line.len() < 200),
+                Action::Log(_, line) => assert!(line.len() < 200),
             }
         }
         for (id, held) in &self.held {
