--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use alderstile::interface::Settings;
+use alderstile::interface::{Micros, Settings};
 use alderstile::settings::{self, Keys, SettingsError, absent};
 use serde_json::Value;
 use thiserror::Error;
@@ -16,6 +16,9 @@
 /// How long a connection to a host may take where nothing else is said.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How often the list must be asked for where nothing else is said.
+const MUST_ASK_IN: Micros = Micros::from_millis(10_000);
+
 /// Why there is no configuration.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -114,7 +117,12 @@
         let count: u16 = set.read("classes.count", "a list of classes")?;
         let classes = (0..count).map(|i| set.text(&format!("classes.{i}.name")).map(str::to_owned));
         let timeout = set.micros("allowed.connect_timeout").map(|span| Duration::from_micros(span.0));
-        let settings = settings::parse(&set)?;
+        let mut settings = settings::parse(&set)?;
+        // On sockets the list comes to those who watch it, whatever brings it on the drill.
+        settings.must_ask = true;
+        if settings.must_ask_in == Micros(0) {
+            settings.must_ask_in = MUST_ASK_IN;
+        }
         Ok(Config {
             name: keys.text("name")?.to_owned(),
             listen: keys.read("listen", address)?,
--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -129,23 +129,16 @@
 
 /// Watches whenever the decisions ask for it, and tells them when a watch has ended.
 pub async fn run(node: Rc<Node>) {
-    let mut held = Held { seq: node.config.known.seq, ..Held::default() };
+    // The version held.
+    let mut seq = node.config.known.seq;
     loop {
         node.ask_list.notified().await;
-        let ended = watch(&node, &mut held).await.err().unwrap_or(WatchError::Ended);
+        let ended = watch(&node, &mut seq).await.err().unwrap_or(WatchError::Ended);
         warn!("watch of the server list: {ended}");
         node.list(ListKind::Failed, Vec::new());
     }
 }
 
-/// What is held of the list.
-#[derive(Default)]
-struct Held {
-    seq: u64,
-    /// A list has come from discovery itself.
-    told: bool,
-}
-
 /// The task of a connection ends with the watch.
 struct Abort(AbortHandle);
 
@@ -155,7 +148,7 @@
     }
 }
 
-async fn watch(node: &Node, held: &mut Held) -> Result<(), WatchError> {
+async fn watch(node: &Node, seq: &mut u64) -> Result<(), WatchError> {
     let deadline = tokio::time::Instant::now() + ANSWER;
     let stream = timeout_at(deadline, TcpStream::connect(node.config.discovery)).await;
     let stream = stream.map_err(|_| WatchError::NoAnswer)??;
@@ -163,7 +156,7 @@
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move { connection.await.unwrap_or_default() });
     let _abort = Abort(task.abort_handle());
-    let request = Request::get(format!("/catalog/members?stream=1&index={}", held.seq))
+    let request = Request::get(format!("/catalog/members?stream=1&index={seq}"))
         .header("Host", node.config.discovery.to_string())
         .body(Empty::<Bytes>::new());
     let Ok(request) = request else { return Err(WatchError::Ended) };
@@ -172,13 +165,14 @@
     if answer.status() != StatusCode::OK {
         return Err(WatchError::Status(answer.status()));
     }
-    follow(node, held, answer).await
+    follow(node, seq, answer).await
 }
 
 /// Takes in one line after the other until the watch ends.
-async fn follow(node: &Node, held: &mut Held, mut answer: Response<Incoming>) -> Result<(), WatchError> {
+async fn follow(node: &Node, seq: &mut u64, mut answer: Response<Incoming>) -> Result<(), WatchError> {
     // Lines and chunks need not end together.
     let mut line: Vec<u8> = Vec::new();
+    let mut first = true;
     loop {
         let frame = timeout(SILENCE, answer.frame()).await.map_err(|_| WatchError::Silent)?;
         let Some(frame) = frame else { return Ok(()) };
@@ -189,28 +183,26 @@
                 return Err(WatchError::Overlong);
             }
             if line.ends_with(b"\n") {
-                take_in(node, held, line.trim_ascii())?;
+                match line.trim_ascii() {
+                    // Nothing has changed since the version held: the call has succeeded all the same.
+                    b"" if first => node.list(ListKind::Delta, Vec::new()),
+                    b"" => {}
+                    list => take_in(node, seq, list)?,
+                }
+                first = false;
                 line.clear();
             }
         }
     }
 }
 
-fn take_in(node: &Node, held: &mut Held, line: &[u8]) -> Result<(), WatchError> {
-    if line.is_empty() {
-        // Nothing has changed since the version held.
-        if !held.told {
-            held.told = true;
-            node.list(ListKind::Delta, Vec::new());
-        }
-        return Ok(());
-    }
+fn take_in(node: &Node, seq: &mut u64, line: &[u8]) -> Result<(), WatchError> {
     let list: List = serde_json::from_slice(line)?;
-    if !list.whole && list.seq < held.seq {
+    // Changes from before the version held would undo later ones.
+    if !list.whole && list.seq < *seq {
         return Ok(());
     }
-    held.seq = list.seq;
-    held.told = true;
+    *seq = list.seq;
     info!("server list {}: {} lines{}", list.seq, list.hosts.len(), if list.whole { ", whole" } else { "" });
     node.learn(&list);
     Ok(())
--- a/crates/alderstile-node/src/peers.rs
+++ b/crates/alderstile-node/src/peers.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use log::{debug, warn};
 use tokio::net::UdpSocket;
@@ -12,6 +13,9 @@
 /// The longest message; a longer one is against the protocol.
 pub const MAX_MESSAGE: usize = 256;
 
+/// How long receiving pauses after an error.
+const PAUSE: Duration = Duration::from_millis(5);
+
 /// The way to the other nodes, where there is one.
 pub struct Peers {
     socket: UdpSocket,
@@ -27,7 +31,10 @@
         if !node.config.settings.may_tell {
             return Ok(None);
         }
-        Ok(Some(Rc::new(Peers { socket: UdpSocket::bind(listen).await?, all })))
+        let socket = UdpSocket::bind(listen).await?;
+        // Until the runtime has looked once, a send without waiting finds no room.
+        socket.writable().await?;
+        Ok(Some(Rc::new(Peers { socket, all })))
     }
 
     /// Sends a message to all nodes; it is lost where the system has no room for it.
@@ -53,10 +60,11 @@
                         _ => debug!("message of {len} bytes from {from} ignored"),
                     }
                 }
-                // A message that a node on its way down refused comes back as an error; the next one is fine.
+                // A message that a node on its way down refused comes back as an error; the next one is fine. Should
+                // errors go on, they must not take the whole core.
                 Err(error) => {
                     debug!("peers: {error}");
-                    tokio::task::yield_now().await;
+                    tokio::time::sleep(PAUSE).await;
                 }
             }
         }
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -149,9 +149,11 @@
             Ok(Err(_)) => Some(Reason::ClientLeft),
             Err(_) => Some(Reason::ClientSilent),
         };
-        if let Some(reason) = reason {
-            debug!("end code={reason}");
-            return;
+        match reason {
+            None => {}
+            // The front asks many times a second.
+            Some(Reason::Pinged) => return debug!("end code={}", Reason::Pinged),
+            Some(reason) => return info!("end code={reason}"),
         }
         let line = client.buffer.line().unwrap_or_default().to_vec();
         client.buffer.consume_line();
@@ -159,12 +161,11 @@
             Some(ClientLine::Ping) => {
                 pinged = true;
                 if !node.ready() || client.stream.write_all(b"PONG\r\n").await.is_err() {
-                    debug!("end code={}", Reason::Pinged);
-                    return;
+                    return debug!("end code={}", Reason::Pinged);
                 }
             }
             Some(ClientLine::Open(open)) => {
-                return Session { node, line: &line, open, arrived, attempts: 0 }.run(client).await;
+                return Session { node, line: &line, open, arrived, attempts: 0, up_ms: 0 }.run(client).await;
             }
             None => {
                 info!("end code={} line={:?}", Reason::ClientMalformed, String::from_utf8_lossy(&line));
@@ -181,6 +182,8 @@
     open: Open<'a>,
     arrived: Instant,
     attempts: u32,
+    /// How long the attempt took that came up.
+    up_ms: u128,
 }
 
 /// A connection to a host that is up.
@@ -222,7 +225,10 @@
         let (id, attempts) = (String::from_utf8_lossy(self.open.id), self.attempts);
         let class = String::from_utf8_lossy(self.open.class);
         let ms = self.arrived.elapsed().as_millis();
-        info!("end code={reason} id={id} class={class} host={host} attempts={attempts} ms={ms}");
+        let up_ms = self.up_ms;
+        info!(
+            "end code={reason} id={id} class={class} host={host} attempts={attempts} up_ms={up_ms} ms={ms}"
+        );
     }
 
     fn ask(&self, remaining: Duration) -> Ask {
@@ -275,7 +281,7 @@
             };
             if let Some((host, name)) = host {
                 let latency = began.elapsed();
-                info!("up host={name} ms={}", latency.as_micros() as f64 / 1e3);
+                self.up_ms = latency.as_millis();
                 self.node.decide(|facade, now| facade.report_up(now, id, micros(latency)));
                 let Some(descriptor) = descriptor.take() else { return Placed::ClientGone };
                 return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
--- a/crates/alderstile-node/tests/config.rs
+++ b/crates/alderstile-node/tests/config.rs
@@ -65,7 +65,11 @@
     for key in ["limits", "peers", "seed", "known"] {
         value.as_object_mut().and_then(|fields| fields.remove(key));
     }
+    value["settings"]["discovery"] = "automatic".into();
+    value["settings"]["obligations"].as_object_mut().and_then(|fields| fields.remove("must_ask_in"));
     let config = Config::parse(value).expect("fine");
+    // A node that never watched, or watched without a pause, would be of no use on sockets.
+    assert!(config.settings.must_ask && config.settings.must_ask_in.0 == 10_000_000);
     assert_eq!((config.sockets, config.peers.len(), config.known.hosts.len()), (1_024, 0, 0));
 }
 
--- a/crates/alderstile-node/tests/node.rs
+++ b/crates/alderstile-node/tests/node.rs
@@ -49,6 +49,24 @@
     });
 }
 
+#[test]
+fn a_watch_goes_on_from_the_version_held_and_old_changes_undo_nothing() {
+    run(async {
+        let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+        let (setup, mut watch) = serving(&[&hosts[0]]).await;
+        chunk(&mut watch, &list(7, false, &[hosts[1].entry("up")])).await;
+        chunk(&mut watch, &list(3, false, &[hosts[1].entry("removed")])).await;
+        chunk(&mut watch, &list(8, false, &[hosts[0].entry("removed")])).await;
+        while setup.node.host(server_id("s-1")).is_some() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        setup.up(1, &hosts[1]).await;
+        drop(watch);
+        let (first, _call) = setup.discovery.call().await;
+        assert!(first.contains("index=8"), "{first}");
+    });
+}
+
 #[test]
 fn lines_pass_unchanged_both_ways_until_the_host_says_bye() {
     run(async {
--- a/crates/alderstile-node/tests/protocol.rs
+++ b/crates/alderstile-node/tests/protocol.rs
@@ -91,3 +91,11 @@
         prop_assert!(matches!(&read, Some(ClientLine::Open(open)) if open.wait_ms == wait), "{:?}", read);
     }
 }
+
+#[test]
+fn the_on_call_page_explains_every_reason_code() {
+    let page = include_str!("../../../docs/on-call.md");
+    for reason in alderstile_node::reason::Reason::ALL {
+        assert!(page.contains(&format!("| `{reason}` |")), "{reason}");
+    }
+}
--- a/examples/client.py
+++ b/examples/client.py
@@ -31,5 +31,8 @@
 
 
 lines = list(range(1, 6))
-while once(lines):
-    time.sleep(0.5)
+try:
+    while once(lines):
+        time.sleep(0.5)
+except OSError as error:
+    print(f"no node: {error}")
