--- a/src/policy.rs
+++ b/src/policy.rs
@@ -494,9 +494,8 @@
         let last = self.servers[s].delay.filter(|last| now < last.at + DELAY_FRESH && now > last.at);
         let grown =
             |last: Delay| (span.as_secs_f64() - last.span.as_secs_f64()) / (now - last.at).as_secs_f64();
-        // A set-up says nothing of a growth: the wait itself stands for it, none at twice the bar.
-        let far = 0.5 * span.as_secs_f64() / self.late_at.as_secs_f64() - 1.0;
-        let growth = if self.set.tells_delay { last.map_or(0.0, grown) } else { far };
+        // Set-ups at odd moments tell nothing of a growth.
+        let growth = last.filter(|_| self.set.tells_delay).map_or(0.0, grown);
         self.servers[s].delay = Some(Delay { span, at: now, growth });
     }
 
