--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -57,7 +57,16 @@
     Outcome::Moot,
 ];
 
-fn mixed(must_ask: bool, probes: bool) -> Settings {
+/// What differs between deployments and the programs round the module.
+#[derive(Clone, Copy, Default)]
+struct Round {
+    must_ask: bool,
+    probes: bool,
+    /// As behind the facade: no delays told, nodes talk, draining servers are emptied.
+    sockets: bool,
+}
+
+fn mixed(round: Round) -> Settings {
     let semantics = [
         Semantics::Retryable,
         Semantics::Dedup(DedupGroup::All),
@@ -67,15 +76,18 @@
     ];
     let mut mixed = settings();
     mixed.classes = semantics.into_iter().map(class).collect();
-    mixed.must_ask = must_ask;
+    mixed.must_ask = round.must_ask;
     mixed.groups = true;
-    mixed.probes = probes;
+    mixed.probes = round.probes;
+    mixed.tells_delay = !round.sockets;
+    mixed.may_tell = round.sockets;
+    mixed.empty_draining = round.sockets;
     mixed.report_fields = vec![ReportField::LoadRatio];
     mixed
 }
 
-fn run(must_ask: bool, probes: bool, servers: u64, ops: &[Op]) -> Vec<Action> {
-    let mut node = Node::new(mixed(must_ask, probes), servers);
+fn run(round: Round, servers: u64, ops: &[Op]) -> Vec<Action> {
+    let mut node = Node::new(mixed(round), servers);
     let mut live: Vec<u64> = Vec::new();
     let mut all = Vec::new();
     let mut next = 1;
@@ -91,12 +103,18 @@
                 live.push(next);
                 next += 1;
             }
-            Op::Establish(i) => pick(i).into_iter().for_each(|id| node.establish(id)),
+            Op::Establish(i) => {
+                let latency = ms(i as u64 % 400);
+                pick(i).into_iter().for_each(|id| node.establish_after(id, latency))
+            }
             Op::End(i, how) => pick(i).into_iter().for_each(|id| node.end(id, OUTCOMES[usize::from(how)])),
             Op::Gone(i) => pick(i).into_iter().for_each(|id| node.client_gone(id)),
             Op::Load(i, load) => {
                 pick(i).into_iter().for_each(|id| node.event(Event::LoadTold(RequestId(id), load)))
             }
+            Op::Delay(server, ms) if round.sockets => {
+                node.event(Event::Peer(1, [server.to_le_bytes(), ms.to_le_bytes()].concat()))
+            }
             Op::Delay(server, ms) => node.event(Event::DelayTold(ServerId(server), ms)),
             Op::Probed(server, ratio) => {
                 let (server, outcome, report) = (ServerId(server), Outcome::Ok, vec![ratio]);
@@ -129,14 +147,14 @@
     all
 }
 
-fn check(must_ask: bool, probes: bool, servers: u64) {
+fn check(round: Round, servers: u64) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[17; 32]);
     let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ops = proptest::collection::vec(op(), 1..120);
     let result = runner.run(&ops, |ops| {
         // The same events must lead to the same actions.
-        let again = || run(must_ask, probes, servers, &ops);
+        let again = || run(round, servers, &ops);
         prop_assert_eq!(again(), again());
         Ok(())
     });
@@ -147,20 +165,25 @@
 
 #[test]
 fn rules_hold_under_arbitrary_events_with_a_pushed_list() {
-    check(false, false, 5);
+    check(Round::default(), 5);
 }
 
 #[test]
 fn rules_hold_under_arbitrary_events_with_an_asked_list() {
-    check(true, false, 5);
+    check(Round { must_ask: true, ..Round::default() }, 5);
 }
 
 #[test]
 fn rules_hold_under_arbitrary_events_with_looks_by_probes() {
-    check(false, true, 5);
+    check(Round { probes: true, ..Round::default() }, 5);
 }
 
 #[test]
 fn rules_hold_under_arbitrary_events_with_125_servers() {
-    check(true, true, 125);
+    check(Round { must_ask: true, probes: true, ..Round::default() }, 125);
+}
+
+#[test]
+fn rules_hold_under_arbitrary_events_on_sockets() {
+    check(Round { must_ask: true, sockets: true, ..Round::default() }, 5);
 }
