A flood on one connection no longer keeps the others waiting

Found by reading: relay::run went on without waiting as long as bytes came, so that one client could hold the only thread. It now waits each time, which gives the other tasks their turn.

--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -157,9 +157,7 @@
         if !client_takes {
             return (Reason::ClientReset, Ending::Reset);
         }
-        if from_client == Pulled::Some || from_host == Pulled::Some {
-            continue;
-        }
+        // Also after bytes came: waiting gives the other tasks their turn, or one flood would take the core.
         let client_interest = interest(client.buffer.has_room(), !host.buffer.whole().is_empty());
         let host_interest = interest(host.buffer.has_room(), !client.buffer.whole().is_empty());
         let silent_at = watch.silent_since.map(|since| since + SILENT);
