--- a/crates/alderstile-node/src/buffer.rs
+++ b/crates/alderstile-node/src/buffer.rs
@@ -41,9 +41,9 @@
         Ok(&mut self.data[self.end..])
     }
 
-    /// Whether [`LineBuffer::room`] would give any.
+    /// Whether to read on: there is room, or there is none for a line that reading on shows to be too long.
     pub fn has_room(&self) -> bool {
-        self.end - self.start < MAX_LINE
+        self.held() < MAX_LINE || self.whole == self.start
     }
 
     /// Takes in what was written to the room, and returns the lines that this made whole.
