SIGHUP moves discovery; bad clients get ERR in time and never reach a host

Lines at fault: session.rs FIRST_LINE (10 s), `unwrap_or(u16::MAX)` for the class, no check of the id, SYNTAX as answer, close_with after an overlong line not called at all; listener.rs gave every descriptor to whoever connected.

Changed: a lobby with an eighth of the descriptors for connections without a request, whose oldest makes way; 2 s for the first line; ERR for what no host would take; draining bounded by 256 KiB and 0.5 s. reload.rs reads the file at SIGHUP, the file's discovery wins over ROUTER_DISCOVERY; the old watch or call is dropped, the new address asked for the whole list (a watch from index 0 was seen to begin with no lines at all) and watched from its version.

--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use alderstile::interface::{ListKind, Micros, ServerEntry, ServerId, ServerState};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -127,13 +127,22 @@
     Ended,
 }
 
-/// Watches whenever the decisions ask for it, and tells them when a watch has ended.
+/// Watches whenever the decisions ask for it, and tells them when a watch has ended. Where discovery has moved, the
+/// watch or call that is out is dropped at once and the new address asked.
 pub async fn run(node: Rc<Node>) {
-    // The version held.
-    let mut seq = node.config.known.seq;
+    // The version held, where it is one of the discovery that is asked.
+    let mut seq = Some(node.config.known.seq);
     loop {
-        node.ask_list.notified().await;
-        let ended = watch(&node, &mut seq).await.err().unwrap_or(WatchError::Ended);
+        tokio::select! {
+            () = node.ask_list.notified() => {}
+            () = node.discovery_moved.notified() => seq = None,
+        }
+        let ended = loop {
+            tokio::select! {
+                ended = watch(&node, &mut seq) => break ended.err().unwrap_or(WatchError::Ended),
+                () = node.discovery_moved.notified() => seq = None,
+            }
+        };
         warn!("watch of the server list: {ended}");
         node.list(ListKind::Failed, Vec::new());
     }
@@ -148,24 +157,41 @@
     }
 }
 
-async fn watch(node: &Node, seq: &mut u64) -> Result<(), WatchError> {
+/// Watches from the version held; where there is none, asks for the whole list first, since a watch may begin with
+/// no more than what has changed.
+async fn watch(node: &Node, seq: &mut Option<u64>) -> Result<(), WatchError> {
+    let held = match *seq {
+        Some(held) => held,
+        None => {
+            let (answer, _abort) = call(node, "/catalog/members").await?;
+            let body = timeout(ANSWER, Limited::new(answer.into_body(), MAX_LIST).collect()).await;
+            let body = body.map_err(|_| WatchError::NoAnswer)?.map_err(|_| WatchError::Overlong)?.to_bytes();
+            let list: List = serde_json::from_slice(&body)?;
+            take_in(node, &list);
+            *seq.insert(list.seq)
+        }
+    };
+    let (answer, _abort) = call(node, &format!("/catalog/members?stream=1&index={held}")).await?;
+    follow(node, seq.insert(held), answer).await
+}
+
+/// Asks discovery; the call has its own connection, which ends with the guard.
+async fn call(node: &Node, path: &str) -> Result<(Response<Incoming>, Abort), WatchError> {
     let deadline = tokio::time::Instant::now() + ANSWER;
-    let stream = timeout_at(deadline, TcpStream::connect(node.config.discovery)).await;
+    let stream = timeout_at(deadline, TcpStream::connect(node.discovery())).await;
     let stream = stream.map_err(|_| WatchError::NoAnswer)??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move { connection.await.unwrap_or_default() });
-    let _abort = Abort(task.abort_handle());
-    let request = Request::get(format!("/catalog/members?stream=1&index={seq}"))
-        .header("Host", node.config.discovery.to_string())
-        .body(Empty::<Bytes>::new());
+    let abort = Abort(task.abort_handle());
+    let request = Request::get(path).header("Host", node.discovery().to_string()).body(Empty::<Bytes>::new());
     let Ok(request) = request else { return Err(WatchError::Ended) };
     let answer = timeout_at(deadline, sender.send_request(request)).await;
     let answer = answer.map_err(|_| WatchError::NoAnswer)??;
     if answer.status() != StatusCode::OK {
         return Err(WatchError::Status(answer.status()));
     }
-    follow(node, seq, answer).await
+    Ok((answer, abort))
 }
 
 /// Takes in one line after the other until the watch ends.
@@ -187,7 +213,14 @@
                     // Nothing has changed since the version held: the call has succeeded all the same.
                     b"" if first => node.list(ListKind::Delta, Vec::new()),
                     b"" => {}
-                    list => take_in(node, seq, list)?,
+                    list => {
+                        let list: List = serde_json::from_slice(list)?;
+                        // Changes from before the version held would undo later ones.
+                        if list.whole || list.seq >= *seq {
+                            *seq = list.seq;
+                            take_in(node, &list);
+                        }
+                    }
                 }
                 first = false;
                 line.clear();
@@ -196,14 +229,7 @@
     }
 }
 
-fn take_in(node: &Node, seq: &mut u64, line: &[u8]) -> Result<(), WatchError> {
-    let list: List = serde_json::from_slice(line)?;
-    // Changes from before the version held would undo later ones.
-    if !list.whole && list.seq < *seq {
-        return Ok(());
-    }
-    *seq = list.seq;
+fn take_in(node: &Node, list: &List) {
     info!("server list {}: {} lines{}", list.seq, list.hosts.len(), if list.whole { ", whole" } else { "" });
-    node.learn(&list);
-    Ok(())
+    node.learn(list);
 }
--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -31,16 +31,23 @@
     loop {
         // Where no descriptor is left even for a refusal, clients wait in the backlog.
         let Some(descriptor) = node.descriptor(0) else {
+            node.lobby.show_out_oldest();
             tokio::time::sleep(PAUSE).await;
             continue;
         };
+        if !node.lobby.has_place() {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let node = node.clone();
+                let (node, guest) = (node.clone(), node.lobby.enter());
                 spawn_local(async move {
-                    session::run(node, stream).await;
+                    session::run(node, stream, guest).await;
                     drop(descriptor);
                 });
+                // Those that have said something are heard before the next is taken in.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 warn!("accept: {error}");
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -7,7 +7,7 @@
 use alderstile_node::config::Config;
 use alderstile_node::node::Node;
 use alderstile_node::peers::Peers;
-use alderstile_node::{discovery, listener, shutdown};
+use alderstile_node::{discovery, listener, reload, shutdown};
 use lexopt::{Arg, Parser, ValueExt};
 use log::{error, info};
 use tokio::signal::unix::{SignalKind, signal};
@@ -19,13 +19,14 @@
 Usage: alderstile COMMAND [--config FILE]
 
 Commands:
-  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move
+  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move; SIGHUP reads the
+                configuration again
   check-config  read and check the configuration, and say what is wrong with it
   version       print the version
   help          print this
 
 The configuration is a JSON file: FILE, or the one that ROUTER_CONFIG names. ROUTER_NAME, ROUTER_LISTEN and
-ROUTER_DISCOVERY stand above its name, listen and discovery. RUST_LOG sets what is logged (info if not set).
+ROUTER_DISCOVERY stand above its name, listen and discovery; at a reload the file's discovery counts. RUST_LOG sets what is logged (info if not set).
 ";
 
 enum Command {
@@ -71,7 +72,7 @@
         Ok(Command::CheckConfig(path)) => load(path.as_deref()).map(|config| {
             println!("{}: listens on {}, {} classes: fine", config.name, config.listen, config.classes.len());
         }),
-        Ok(Command::Serve(path)) => load(path.as_deref()).and_then(serve),
+        Ok(Command::Serve(path)) => load(path.as_deref()).and_then(|config| serve(config, path.as_deref())),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -83,11 +84,15 @@
 }
 
 fn load(path: Option<&Path>) -> Result<Config, String> {
-    Config::load(path, |name| std::env::var(name).ok()).map_err(|error| error.to_string())
+    Config::load(path, env).map_err(|error| error.to_string())
+}
+
+fn env(name: &str) -> Option<String> {
+    std::env::var(name).ok()
 }
 
 /// Serves until a signal comes and all clients have been told to move.
-fn serve(config: Config) -> Result<(), String> {
+fn serve(config: Config, path: Option<&Path>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
     LocalSet::new().block_on(&runtime, async {
@@ -95,8 +100,11 @@
         let listen = node.config.listen;
         let mut term = signal(SignalKind::terminate()).map_err(|error| format!("signals: {error}"))?;
         let mut int = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
+        // Handled before anything else is done: unhandled, it ends the process.
+        let mut hangup = signal(SignalKind::hangup()).map_err(|error| format!("signals: {error}"))?;
         let listener = listener::bind(listen).map_err(|error| format!("listen {listen}: {error}"))?;
         let peers = Peers::bind(&node).await.map_err(|error| format!("peer_listen: {error}"))?;
+        let listen = listener.local_addr().map_err(|error| format!("listen {listen}: {error}"))?;
         info!("{} listens on {listen}", node.config.name);
         if let Some(peers) = &peers {
             spawn_local(peers.clone().run(node.clone()));
@@ -108,9 +116,12 @@
             }
         }));
         let accepting = spawn_local(listener::run(node.clone(), listener));
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = int.recv() => break,
+                Some(()) = hangup.recv() => reload::reload(&node, path, env),
+            }
         }
         shutdown::run(node, accepting).await;
         Ok(())
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::{Health, List, server_id};
+use crate::lobby::Lobby;
 use crate::reason::Reason;
 
 /// Descriptors that are no connections of clients or to hosts: the runtime's, the listener, discovery, peers, logs.
@@ -52,6 +53,12 @@
     pub clock: Clock,
     /// A watch of the server list is wanted.
     pub ask_list: Notify,
+    /// The server list is to be had elsewhere from now on.
+    pub discovery_moved: Notify,
+    /// Connections that hold no request.
+    pub lobby: Rc<Lobby>,
+    discovery: Cell<SocketAddr>,
+    open_ids: Rc<RefCell<BTreeSet<Vec<u8>>>>,
     facade: RefCell<Facade>,
     hosts: RefCell<BTreeMap<ServerId, HostAt>>,
     movers: RefCell<BTreeMap<RequestId, Rc<Mover>>>,
@@ -63,6 +70,15 @@
     descriptors: Rc<Cell<usize>>,
 }
 
+/// The id of an open request, taken while this lives.
+pub struct OpenId(Rc<RefCell<BTreeSet<Vec<u8>>>>, Vec<u8>);
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
 /// A descriptor in use, counted while this lives.
 pub struct Descriptor(Rc<Cell<usize>>);
 
@@ -79,9 +95,13 @@
         let facade = Facade::new(config.settings.clone(), config.seed, clock.now());
         let known = config.known.clone();
         let node = Node {
+            lobby: Lobby::new(config.sockets.saturating_sub(OWN_DESCRIPTORS)),
+            discovery: Cell::new(config.discovery),
             config,
             clock,
             ask_list: Notify::new(),
+            discovery_moved: Notify::new(),
+            open_ids: Rc::default(),
             facade: RefCell::new(facade),
             hosts: RefCell::default(),
             movers: RefCell::default(),
@@ -151,6 +171,23 @@
         self.host(server).map_or_else(|| format!("{:016x}", server.0).into(), |host| host.name)
     }
 
+    /// Where the server list is to be had.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery.get()
+    }
+
+    /// From now on the server list is to be had there.
+    pub fn move_discovery(&self, to: SocketAddr) {
+        self.discovery.set(to);
+        self.discovery_moved.notify_one();
+    }
+
+    /// Takes a request's id; none while another client's request is open under it.
+    pub fn open_id(&self, id: &[u8]) -> Option<OpenId> {
+        let new = self.open_ids.borrow_mut().insert(id.to_vec());
+        new.then(|| OpenId(self.open_ids.clone(), id.to_vec()))
+    }
+
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
         self.ready.get() && !self.leaving.get()
--- a/crates/alderstile-node/src/protocol.rs
+++ b/crates/alderstile-node/src/protocol.rs
@@ -6,6 +6,9 @@
 use winnow::error::{ContextError, ErrMode};
 use winnow::token::{rest, take_while};
 
+/// The longest wait that a client may name: 32 bits of milliseconds, 49 days; absurd figures are no deadline.
+const LONGEST_WAIT_MS: u64 = u32::MAX as u64;
+
 type Parsed<T> = Result<T, ErrMode<ContextError>>;
 
 /// What a client's side says first.
@@ -78,8 +81,8 @@
     }
     let (Some(class), Some(wait)) = (class, wait) else { return Err(ErrMode::Cut(ContextError::new())) };
     open.class = class;
-    open.wait_ms =
-        terminated(dec_uint::<_, u64, ContextError>, eof).parse_next(&mut &*wait).map_err(ErrMode::Cut)?;
+    let mut number = terminated(dec_uint::<_, u64, ContextError>, eof).verify(|ms| *ms <= LONGEST_WAIT_MS);
+    open.wait_ms = number.parse_next(&mut &*wait).map_err(ErrMode::Cut)?;
     // `wait` is a part of `line`: its place is the distance between their first bytes.
     let at = wait.as_ptr() as usize - line.as_ptr() as usize;
     open.wait_at = at..at + wait.len();
--- a/crates/alderstile-node/src/reason.rs
+++ b/crates/alderstile-node/src/reason.rs
@@ -37,6 +37,12 @@
     ClientSilent = "client-silent",
     /// The client's first line is none of the protocol's.
     ClientMalformed = "client-malformed",
+    /// The client names a class that the settings do not.
+    ClientUnknownClass = "client-unknown-class",
+    /// The client's id is that of another client's open request.
+    ClientDuplicateId = "client-duplicate-id",
+    /// The client had sent no whole first line when its place was needed for another.
+    ClientShownOut = "client-shown-out",
     /// The client's line is longer than a line may be.
     ClientOverlong = "client-overlong",
     /// The client does not take what is sent to it.
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -11,25 +11,31 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-use crate::buffer::LineBuffer;
+use crate::buffer::{LineBuffer, MAX_LINE};
 use crate::discovery::server_id;
-use crate::node::{Descriptor, HostAt, Node};
+use crate::lobby::Guest;
+use crate::node::{Descriptor, HostAt, Node, OpenId};
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
 use crate::relay::{self, Ending};
 
-/// A client that has sent no whole first line after this long is none.
-const FIRST_LINE: Duration = Duration::from_secs(10);
+/// A client that has sent no whole first line after this long is none: it is owed a word or a close within 3 s.
+const FIRST_LINE: Duration = Duration::from_secs(2);
 /// The node stops waiting this long before the client does: its answer must still reach the client.
 const MARGIN: Duration = Duration::from_millis(10);
-/// The longest time that a client's wait may be: absurd figures must not overflow the clock.
-const LONGEST_WAIT_MS: u64 = 600_000;
+/// The node itself waits no longer than this, whatever the client says.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A connection that stood before this node's start is tried again this often where its host cannot be reached.
 const STANDING_RETRY: Duration = Duration::from_millis(250);
 /// How long an answer may wait for a client to take it.
 const ANSWER: Duration = Duration::from_millis(500);
-/// How long the node waits for the other side to end once it has said all: ending with bytes unread resets.
+/// How long the node waits for the other side to end once it has said all: ending with bytes unread resets, and that
+/// can destroy what was said.
 const LINGER: Duration = Duration::from_millis(500);
+/// Bytes of a first line turned away that are logged.
+const LOGGED: usize = 120;
+/// Bytes that are read and dropped meanwhile: who sends without end is cut off.
+const DRAIN: usize = 1 << 18;
 
 /// A connection and the bytes that came on it.
 pub struct Side {
@@ -113,13 +119,15 @@
         if !matches!(said.await, Ok(Ok(()))) {
             return;
         }
-        let mut sink = [0; 512];
+        let mut sink = [0; MAX_LINE];
+        let mut drained = 0;
         let _ended = timeout(LINGER, async {
-            while self.stream.readable().await.is_ok() {
+            while drained < DRAIN && self.stream.readable().await.is_ok() {
                 match self.stream.try_read(&mut sink) {
                     Ok(0) => break,
+                    Ok(count) => drained += count,
                     Err(error) if error.kind() != io::ErrorKind::WouldBlock => break,
-                    _ => {}
+                    Err(_) => {}
                 }
             }
         })
@@ -134,44 +142,76 @@
 }
 
 /// Serves one connection.
-pub async fn run(node: Rc<Node>, stream: TcpStream) {
+pub async fn run(node: Rc<Node>, stream: TcpStream, guest: Guest) {
     let mut client = Side::new(stream);
-    let began = Instant::now();
+    let greeted = tokio::select! {
+        biased;
+        greeted = timeout(FIRST_LINE, greet(&node, &mut client)) => greeted.unwrap_or(Err(Reason::ClientSilent)),
+        () = guest.shown_out() => Err(Reason::ClientShownOut),
+    };
+    let line = match greeted {
+        Ok(line) => line,
+        // The front asks many times a second.
+        Err(Reason::Pinged) => return debug!("end code={}", Reason::Pinged),
+        Err(reason @ Reason::ClientOverlong) => {
+            info!("end code={reason}");
+            return turn_away(client, guest).await;
+        }
+        Err(reason) => return info!("end code={reason}"),
+    };
+    let arrived = Instant::now();
+    match admit(&node, &line) {
+        Ok((open, class, _id)) => {
+            drop(guest);
+            Session { node, line: &line, open, class, arrived, attempts: 0, up_ms: 0 }.run(client).await;
+        }
+        Err(reason) => {
+            // A part is enough to tell what it was meant to be, and a flood must not fill the log.
+            let shown = String::from_utf8_lossy(&line[..line.len().min(LOGGED)]).into_owned();
+            info!("end code={reason} line={shown:?}");
+            turn_away(client, guest).await;
+        }
+    }
+}
+
+/// Answers the front until another line comes: that line, or why there is none.
+async fn greet(node: &Node, client: &mut Side) -> Result<Vec<u8>, Reason> {
     let mut pinged = false;
     loop {
-        let first = timeout_at(began + FIRST_LINE, client.line()).await;
-        let arrived = Instant::now();
-        let reason = match first {
-            Ok(Ok(())) => None,
-            Ok(Err(Pulled::Overlong)) => Some(Reason::ClientOverlong),
-            Ok(Err(Pulled::Reset)) if !pinged => Some(Reason::ClientReset),
-            Ok(Err(_)) if pinged => Some(Reason::Pinged),
-            Ok(Err(_)) => Some(Reason::ClientLeft),
-            Err(_) => Some(Reason::ClientSilent),
-        };
-        match reason {
-            None => {}
-            // The front asks many times a second.
-            Some(Reason::Pinged) => return debug!("end code={}", Reason::Pinged),
-            Some(reason) => return info!("end code={reason}"),
+        match client.line().await {
+            Ok(()) => {}
+            Err(Pulled::Overlong) => return Err(Reason::ClientOverlong),
+            Err(_) if pinged => return Err(Reason::Pinged),
+            Err(Pulled::Reset) => return Err(Reason::ClientReset),
+            Err(_) => return Err(Reason::ClientLeft),
         }
         let line = client.buffer.line().unwrap_or_default().to_vec();
         client.buffer.consume_line();
-        match client_line(&line) {
-            Some(ClientLine::Ping) => {
-                pinged = true;
-                if !node.ready() || client.stream.write_all(b"PONG\r\n").await.is_err() {
-                    return debug!("end code={}", Reason::Pinged);
-                }
-            }
-            Some(ClientLine::Open(open)) => {
-                return Session { node, line: &line, open, arrived, attempts: 0, up_ms: 0 }.run(client).await;
-            }
-            None => {
-                info!("end code={} line={:?}", Reason::ClientMalformed, String::from_utf8_lossy(&line));
-                return client.close_with(b"SYNTAX\r\n").await;
-            }
+        if client_line(&line) != Some(ClientLine::Ping) {
+            return Ok(line);
         }
+        pinged = true;
+        if !node.ready() || client.stream.write_all(b"PONG\r\n").await.is_err() {
+            return Err(Reason::Pinged);
+        }
+    }
+}
+
+/// What a first line asks for, its class, and its id while the request is open. Guards against what no host would
+/// take: a host's refusal of it would be held against the host.
+fn admit<'a>(node: &Node, line: &'a [u8]) -> Result<(Open<'a>, u16, OpenId), Reason> {
+    let Some(ClientLine::Open(open)) = client_line(line) else { return Err(Reason::ClientMalformed) };
+    let class = node.config.classes.iter().position(|class| class.as_bytes() == open.class);
+    let class = class.and_then(|class| u16::try_from(class).ok()).ok_or(Reason::ClientUnknownClass)?;
+    let id = node.open_id(open.id).ok_or(Reason::ClientDuplicateId)?;
+    Ok((open, class, id))
+}
+
+/// Ends the connection of one that is never served; at once where its place is wanted.
+async fn turn_away(client: Side, guest: Guest) {
+    tokio::select! {
+        () = client.close_with(b"ERR\r\n") => {}
+        () = guest.shown_out() => {}
     }
 }
 
@@ -180,6 +220,7 @@
     node: Rc<Node>,
     line: &'a [u8],
     open: Open<'a>,
+    class: u16,
     arrived: Instant,
     attempts: u32,
     /// How long the attempt took that came up.
@@ -205,7 +246,7 @@
 
 impl Session<'_> {
     async fn run(mut self, mut client: Side) {
-        let wait = Duration::from_millis(self.open.wait_ms.min(LONGEST_WAIT_MS));
+        let wait = Duration::from_millis(self.open.wait_ms).min(LONGEST_WAIT);
         let deadline = self.arrived + wait.saturating_sub(MARGIN);
         let placed = match self.open.at {
             Some(at) => self.adopt(&mut client, server_id(&String::from_utf8_lossy(at)), deadline).await,
@@ -233,12 +274,10 @@
 
     fn ask(&self, remaining: Duration) -> Ask {
         let node = &self.node;
-        let class = node.config.classes.iter().position(|class| class.as_bytes() == self.open.class);
         let group = self.open.group.map(group_number);
         let grouped = node.config.settings.groups;
         Ask {
-            // A class that the settings do not name is none of theirs.
-            class: class.and_then(|class| u16::try_from(class).ok()).unwrap_or(u16::MAX),
+            class: self.class,
             group: group.filter(|_| grouped).map(GroupId),
             key: group.filter(|_| !grouped),
             hint: self.open.hint,
