Silence from a host ends after 4 s; an id that is not new is turned away

The node counts from the first of the client's lines that brings nothing back; clients send one every 2 s, so a host that stops just after an answer shows up to 2 s later, and 2 s and 5.5 s are more than the 7 s after which the client counts as lost. Line at fault: relay.rs SILENT. Ruled out: half a line (push passes whole lines only, and they alone clear the count), LOAD lines (they never cleared it).

--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a node share: the decisions, the table of servers, and who is to be moved.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,6 +20,9 @@
 /// Descriptors that are no connections of clients or to hosts: the runtime's, the listener, discovery, peers, logs.
 const OWN_DESCRIPTORS: usize = 32;
 
+/// Ids of ended requests that are still known: a repeated one comes within moments. At most 4 MB, at 4 KiB a line.
+const ENDED_IDS: usize = 1024;
+
 /// A server as this node reaches it.
 #[derive(Clone, Debug)]
 pub struct HostAt {
@@ -63,7 +66,7 @@
     /// Connections that hold no request.
     pub lobby: Rc<Lobby>,
     discovery: Cell<SocketAddr>,
-    open_ids: Rc<RefCell<BTreeSet<Vec<u8>>>>,
+    ids: Rc<RefCell<Ids>>,
     facade: RefCell<Facade>,
     hosts: RefCell<BTreeMap<ServerId, HostAt>>,
     movers: RefCell<BTreeMap<RequestId, Rc<Mover>>>,
@@ -76,12 +79,25 @@
     descriptors: Rc<Cell<usize>>,
 }
 
-/// The id of an open request, taken while this lives.
-pub struct OpenId(Rc<RefCell<BTreeSet<Vec<u8>>>>, Vec<u8>);
+/// Ids of requests: those that are open, and the last that have ended.
+#[derive(Default)]
+struct Ids {
+    taken: BTreeSet<Rc<[u8]>>,
+    ended: VecDeque<Rc<[u8]>>,
+}
+
+/// The id of an open request. It stays taken for a while when this ends.
+pub struct OpenId(Rc<RefCell<Ids>>, Rc<[u8]>);
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        self.0.borrow_mut().remove(&self.1);
+        let mut ids = self.0.borrow_mut();
+        ids.ended.push_back(self.1.clone());
+        if ids.ended.len() > ENDED_IDS
+            && let Some(oldest) = ids.ended.pop_front()
+        {
+            ids.taken.remove(&oldest);
+        }
     }
 }
 
@@ -107,7 +123,7 @@
             clock,
             ask_list: Notify::new(),
             discovery_moved: Notify::new(),
-            open_ids: Rc::default(),
+            ids: Rc::default(),
             facade: RefCell::new(facade),
             hosts: RefCell::default(),
             movers: RefCell::default(),
@@ -189,10 +205,12 @@
         self.discovery_moved.notify_one();
     }
 
-    /// Takes a request's id; none while another client's request is open under it.
+    /// Takes a request's id; none where it is not new, as an id is with every connection. Guards also against one
+    /// that is open at another node: hosts turn it away, and once they have it is not put to them again and again.
     pub fn open_id(&self, id: &[u8]) -> Option<OpenId> {
-        let new = self.open_ids.borrow_mut().insert(id.to_vec());
-        new.then(|| OpenId(self.open_ids.clone(), id.to_vec()))
+        let id: Rc<[u8]> = id.into();
+        let new = self.ids.borrow_mut().taken.insert(id.clone());
+        new.then(|| OpenId(self.ids.clone(), id))
     }
 
     /// Whether clients may be sent here.
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -12,7 +12,9 @@
 use crate::session::{Pulled, Side};
 
 /// A client whose lines have brought nothing back for this long is told to move: keep-alive does not see silence.
-const SILENT: Duration = Duration::from_millis(5_500);
+/// Guards also against a host that stops right after an answer: that shows with the client's next line only, up to 2 s
+/// later, and 7 s after the last answer the client counts as lost.
+const SILENT: Duration = Duration::from_millis(4_000);
 /// How long the last lines may take to reach the other side: its end must be told within a second.
 const LAST_LINES: Duration = Duration::from_millis(500);
 /// A client that takes nothing for this long, while lines wait for it, is stuck.
