--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -5,7 +5,7 @@
 import sys
 
 HOSTS = {"s-one": 9101, "s-two": 9102}
-DISCOVERY = 8500
+DISCOVERY = (8500, 8501)
 
 
 class Listing:
@@ -30,14 +30,19 @@
 
 
 async def watch(listing, reader, writer):
-    """Answers each call with a watch: the whole list, then each change, and an empty line every 2 s."""
+    """Answers a call with the whole list, or with a watch: that list, each change, and an empty line every 2 s."""
 
     def chunk(text):
         writer.write(f"{len(text) + 1:x}\r\n{text}\n\r\n".encode())
 
     try:
+        asked = await reader.readline()
         while (await reader.readline()).strip():
             pass
+        if b"stream=1" not in asked:
+            line = listing.line()
+            writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(line)}\r\n\r\n{line}".encode())
+            return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         chunk(listing.line())
         while not writer.is_closing():
@@ -76,8 +81,9 @@
     listing = Listing()
     for name, port in HOSTS.items():
         await asyncio.start_server(lambda r, w, name=name: serve(name, r, w), "127.0.0.1", port)
-    await asyncio.start_server(lambda r, w: watch(listing, r, w), "127.0.0.1", DISCOVERY)
-    print(f"hosts: {HOSTS}; discovery: 127.0.0.1:{DISCOVERY}", flush=True)
+    for port in DISCOVERY:
+        await asyncio.start_server(lambda r, w: watch(listing, r, w), "127.0.0.1", port)
+    print(f"hosts: {HOSTS}; discovery: {DISCOVERY}", flush=True)
     words = asyncio.StreamReader()
     loop = asyncio.get_running_loop()
     try:
