--- a/src/policy.rs
+++ b/src/policy.rs
@@ -398,7 +398,7 @@
         server.told_sum + untold + self.group_share() * server.groups.len() as f64
     }
 
-    /// What a group's shared work on a server is to one node: all of it where that is alone, and less the more
+    /// What a group's shared work on a server is to one node: all of it to one alone, and less the more
     /// nodes hold the group there too.
     fn group_share(&self) -> f64 {
         self.usual() * self.set.group_load * (2.0 / f64::from(self.set.balancers)).min(1.0)
@@ -868,7 +868,7 @@
         let ready = |&s: &usize| self.servers[s].entry.ready();
         let late = (0..self.servers.len()).filter(ready).filter(|&s| self.late(now, s)).count() as f64;
         let ready = (0..self.servers.len()).filter(ready).count() as f64;
-        // What moves begins its group anew elsewhere: the more servers are late, the less room is left for it.
+        // What moves begins its group anew elsewhere: the more servers are late, the less room there is.
         let crowding = if reactive > 0.0 { (2.0 * self.set.group_load * late / ready).min(1.0) } else { 1.0 };
         let mut open: Vec<(f64, RequestId)> = (self.servers[s].conns.iter())
             .filter_map(|id| self.conns.get(id).map(|conn| (id, conn)))
@@ -905,8 +905,8 @@
         }
     }
 
-    /// What moving a connection takes off a server; nothing where its group stays behind and that is less than
-    /// beginning it anew elsewhere costs: a usual connection, or the stated part of one. The last own one of a
+    /// What moving a connection takes off a server; nothing where its group stays and that is less than
+    /// beginning it anew elsewhere costs: a usual connection, or the stated part of that. The last own of a
     /// group takes this node's share of the group's work along.
     fn freed(&self, s: usize, conn: &Conn, crowding: f64) -> Option<f64> {
         let (load, usual) = (self.load_of(conn), self.usual());
