--- a/src/policy.rs
+++ b/src/policy.rs
@@ -385,8 +385,8 @@
         let warmth = self.warmth(now, s);
         if warmth < 1.0 {
             let share = self.set.cold_from + (1.0 - self.set.cold_from) * warmth;
-            // Nodes that begin a group on the same servers also send it to the same cold one. What is sent weighs for
-            // as long as it stands, so there the bound is what warm ones take anew: what they hold over a life.
+            // Nodes that begin a group on the same servers send it to the same cold one. What is sent weighs
+            // while it stands: there the bound is what warm ones take anew, what they hold over a life.
             let (part, span) = if self.set.groups {
                 (1.0, self.stood / f64::from(self.ended.max(1)))
             } else {
