A second instance may watch: what the new shape's settings would do otherwise is counted

Operators want to see before they switch. src/shadow.rs hands a second Policy every event that facade.rs hands the deciding one, compares answers and moves by kind, and tells the second what was really done; chance falls alike, so equal settings count nothing (property test). The section shadow of the configuration has on and settings, checked also while off, unknown keys refused; extra.group_load is checked and refused where groups are off. A node's log tells the counts every 10 s and at its end. session.rs handed a group on only where the deciding settings know groups, which would have blinded the second: the module drops it now. Tests on loopback; the module's decisions are unchanged.

--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -86,6 +86,8 @@
     pub stop_within: Duration,
     /// What the decisions are told.
     pub settings: Settings,
+    /// What a second instance is told that only watches.
+    pub shadow: Option<Settings>,
 }
 
 impl Config {
@@ -111,7 +113,7 @@
     /// Checks a configuration.
     pub fn parse(mut value: Value) -> Result<Self, ConfigError> {
         let mut part = |key: &str| value.as_object_mut().and_then(|fields| fields.remove(key));
-        let (told, known) = (part("settings").unwrap_or_default(), part("known"));
+        let (told, known, shadow) = (part("settings").unwrap_or_default(), part("known"), part("shadow"));
         let set = flat("settings.", &told);
         let keys = flat("", &value);
         let known = match known {
@@ -128,12 +130,8 @@
             (0..count).map(|i| set.micros(&format!("classes.{i}.give_up")).or_else(absent(GIVE_UP)));
         let longest = give_ups.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or(GIVE_UP);
         let timeout = set.micros("allowed.connect_timeout").map(|span| Duration::from_micros(span.0));
-        let mut settings = settings::parse(&set)?;
-        // On sockets the list comes to those who watch it, whatever brings it on the drill.
-        settings.must_ask = true;
-        if settings.must_ask_in == Micros(0) {
-            settings.must_ask_in = MUST_ASK_IN;
-        }
+        let settings = on_sockets(settings::parse(&set)?);
+        let shadow = shadow.map(|section| self::shadow(section, &set, settings.classes.len())).transpose()?;
         Ok(Config {
             name: keys.text("name")?.to_owned(),
             listen: keys.read("listen", address)?,
@@ -153,10 +151,43 @@
             connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
             stop_within: Duration::from_micros(longest.0.min(LONGEST_GIVE_UP.0)) + STOP_AFTER,
             settings,
+            shadow: shadow.flatten(),
         })
     }
 }
 
+/// On sockets the list comes to those who watch it, whatever brings it on the drill.
+fn on_sockets(mut settings: Settings) -> Settings {
+    settings.must_ask = true;
+    if settings.must_ask_in == Micros(0) {
+        settings.must_ask_in = MUST_ASK_IN;
+    }
+    settings
+}
+
+/// The section of the watching instance: whether it is on, and which settings are others than the deciding ones'. It is
+/// checked also while it is off.
+fn shadow(mut section: Value, deciding: &Keys, classes: usize) -> Result<Option<Settings>, SettingsError> {
+    let Some(fields) = section.as_object_mut() else {
+        return Err(Keys::new("", []).bad("shadow", &plain(&section), "an object"));
+    };
+    let told = fields.remove("settings").unwrap_or_default();
+    let (keys, own) = (flat("shadow.", &section), flat("shadow.settings.", &told));
+    if !told.is_null() && !told.is_object() {
+        return Err(keys.bad("settings", &plain(&told), "an object"));
+    }
+    let on = keys.flag("on").or_else(absent(false))?;
+    keys.all_read(&keys)?;
+    let whole = own.above(deciding);
+    let settings = on_sockets(settings::parse(&whole)?);
+    own.all_read(&whole)?;
+    if settings.classes.len() != classes {
+        // Both are handed the same requests.
+        return Err(own.bad("classes", &settings.classes.len().to_string(), "as many classes as are served"));
+    }
+    Ok(on.then_some(settings))
+}
+
 /// Values by path: objects by their keys, lists of plain values joined by commas, lists of objects by their number.
 fn flat(place: &'static str, value: &Value) -> Keys {
     let mut pairs = Vec::new();
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -70,7 +70,9 @@
             Ok(())
         }
         Ok(Command::CheckConfig(path)) => load(path.as_deref()).map(|config| {
-            println!("{}: listens on {}, {} classes: fine", config.name, config.listen, config.classes.len());
+            let shadow = if config.shadow.is_some() { ", a second instance watches" } else { "" };
+            let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
+            println!("{name}: listens on {listen}, {classes} classes{shadow}: fine");
         }),
         Ok(Command::Serve(path)) => load(path.as_deref()).and_then(|config| serve(config, path.as_deref())),
     };
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -7,6 +7,7 @@
 
 use alderstile::facade::Facade;
 use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
+use alderstile::shadow::Differences;
 use log::info;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -23,6 +24,9 @@
 /// Ids of ended requests that are still known: a repeated one comes within moments. At most 4 MB, at 4 KiB a line.
 const ENDED_IDS: usize = 1024;
 
+/// How often it is told what the watching instance would have done otherwise.
+const SHADOW_EVERY: Micros = Micros::from_millis(10_000);
+
 /// A server as this node reaches it.
 #[derive(Clone, Debug)]
 pub struct HostAt {
@@ -114,7 +118,8 @@
     /// A node that has just started, with the list it last had.
     pub fn new(config: Config) -> Self {
         let clock = Clock::default();
-        let facade = Facade::new(config.settings.clone(), config.seed, clock.now());
+        let facade =
+            Facade::watched(config.settings.clone(), config.shadow.clone(), config.seed, clock.now());
         let known = config.known.clone();
         let node = Node {
             lobby: Lobby::new(config.sockets.saturating_sub(OWN_DESCRIPTORS)),
@@ -270,9 +275,24 @@
         self.descriptors.get()
     }
 
+    /// What the watching instance would have done otherwise so far; none where there is no such instance.
+    pub fn differences(&self) -> Option<Differences> {
+        self.facade.borrow().differences()
+    }
+
+    /// Says in the log what the watching instance would have done otherwise.
+    pub fn tell_differences(&self) {
+        self.differences().iter().for_each(|differences| info!("shadow: {differences}"));
+    }
+
     /// Does what is due, for as long as the node runs.
     pub async fn run(self: Rc<Self>, tell: impl Fn(&[u8])) {
+        let mut shadow_due = self.clock.now() + SHADOW_EVERY;
         loop {
+            if self.clock.now() >= shadow_due {
+                shadow_due = self.clock.now() + SHADOW_EVERY;
+                self.tell_differences();
+            }
             let chores = self.decide(|facade, now| facade.tick(now));
             for id in chores.moves {
                 if let Some(mover) = self.movers.borrow().get(&id) {
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -273,13 +273,12 @@
     }
 
     fn ask(&self, remaining: Duration) -> Ask {
-        let node = &self.node;
         let group = self.open.group.map(group_number);
-        let grouped = node.config.settings.groups;
+        // Whether it counts as a group is the settings' to say, and a watching instance may have others.
         Ask {
             class: self.class,
-            group: group.filter(|_| grouped).map(GroupId),
-            key: group.filter(|_| !grouped),
+            group: group.map(GroupId),
+            key: group,
             hint: self.open.hint,
             remaining: micros(remaining),
         }
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -37,5 +37,6 @@
     while node.descriptors() > 0 {
         sleep(LOOK).await;
     }
+    node.tell_differences();
     info!("left: nothing is held any more");
 }
--- a/crates/alderstile-node/tests/config.rs
+++ b/crates/alderstile-node/tests/config.rs
@@ -97,3 +97,59 @@
     let config = read.expect("fine");
     assert_eq!((config.listen.to_string(), config.name.as_str()), ("127.0.0.9:90".to_owned(), "n1"));
 }
+
+#[test]
+fn the_watching_instance_is_off_unless_asked_for_and_takes_what_it_is_not_told_from_the_deciding_one() {
+    let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+    assert!(Config::parse(value.clone()).expect("fine").shadow.is_none());
+    value["shadow"] = json!({"settings": {"balancers": 50}});
+    assert!(Config::parse(value.clone()).expect("fine").shadow.is_none(), "named, but not on");
+    value["shadow"] =
+        json!({"on": true, "settings": {"balancers": 50, "extra": {"groups": true, "group_load": 2.5}}});
+    let config = Config::parse(value).expect("fine");
+    let shadow = config.shadow.expect("on");
+    assert_eq!((shadow.balancers, shadow.groups, shadow.group_load), (50, true, 2.5));
+    assert_eq!(shadow.must_ask_in, config.settings.must_ask_in);
+    assert_eq!(config.settings.group_load, 3.0, "absent, it has its default");
+}
+
+#[test]
+fn a_faulty_setting_of_the_new_shape_or_of_the_watching_instance_is_refused_by_its_name() {
+    let group_load = |value: Value| json!({"groups": true, "group_load": value});
+    let faults = [
+        (json!({"on": "perhaps"}), "the key shadow.on has the value \"perhaps\""),
+        (json!({"of": true}), "the key shadow.of is not known"),
+        (json!("yes"), "the key shadow has the value \"yes\""),
+        (json!({"settings": 3}), "the key shadow.settings has the value \"3\""),
+        (json!({"settings": {"balancer": 50}}), "the key shadow.settings.balancer is not known"),
+        (json!({"settings": {"balancers": 0}}), "the key shadow.settings.balancers has the value \"0\""),
+        (
+            json!({"on": true, "settings": {"extra": group_load(json!(-1))}}),
+            "the key shadow.settings.extra.group_load",
+        ),
+        (
+            json!({"settings": {"extra": group_load(json!("NaN"))}}),
+            "the key shadow.settings.extra.group_load",
+        ),
+        (json!({"settings": {"extra": {"group_load": 3}}}), "while extra.groups is not true"),
+        (
+            json!({"settings": {"classes": [{"aim": 300000}]}}),
+            "the key shadow.settings.classes has the value \"1\"",
+        ),
+    ];
+    for (section, wanted) in faults {
+        let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+        value["shadow"] = section.clone();
+        let told = error(value);
+        assert!(told.contains(wanted), "{section}: {told}");
+    }
+    for bad in [json!(-1), json!("inf"), json!("three"), json!([1, 2])] {
+        let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+        value["settings"]["extra"] = group_load(bad.clone());
+        let told = error(value);
+        assert!(told.contains("the key settings.extra.group_load has the value"), "{bad}: {told}");
+    }
+    let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+    value["settings"]["extra"]["unheard_of"] = json!(3);
+    assert!(Config::parse(value).is_ok(), "the platform hands over many keys");
+}
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -10,6 +10,7 @@
 use crate::interface::*;
 use crate::notes::{Note, Notes};
 use crate::policy::Policy;
+use crate::shadow::{Differences, Shadow};
 
 /// What a client asks for; its number is the facade's to give.
 #[derive(Clone, Copy, Debug)]
@@ -50,9 +51,17 @@
     pub lines: Vec<(Option<ServerId>, String)>,
 }
 
+/// On sockets there is no way to look at a server but to send it a client, and a client whose server stops may notice
+/// late: it is told to move before that.
+fn on_sockets(settings: Settings) -> Settings {
+    Settings { probes: false, empty_draining: true, ..settings }
+}
+
 /// The decisions of one node as plain calls.
 pub struct Facade {
     policy: Policy,
+    /// Watches only.
+    shadow: Option<Shadow>,
     /// Where servers tell delays too, what they tell is to be told apart.
     notes: Option<Notes>,
     timers: BinaryHeap<Reverse<(Micros, TimerToken)>>,
@@ -64,12 +73,11 @@
 impl Facade {
     /// A node that has just started and holds nothing.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        // On sockets there is no way to look at a server but to send it a client, and a client whose server stops
-        // may notice late: it is told to move before that.
-        let settings = Settings { probes: false, empty_draining: true, ..settings };
+        let settings = on_sockets(settings);
         let mut facade = Facade {
             notes: settings.tells_delay.then(Notes::default),
             policy: Policy::new(settings, seed, now),
+            shadow: None,
             timers: BinaryHeap::new(),
             last_id: 0,
             actions: Vec::new(),
@@ -80,6 +88,17 @@
         facade
     }
 
+    /// A node that has just started, and a second instance with other settings that watches it.
+    pub fn watched(settings: Settings, shadow: Option<Settings>, seed: u64, now: Micros) -> Self {
+        let shadow = shadow.map(|settings| Shadow::new(on_sockets(settings), seed, now));
+        Facade { shadow, ..Self::new(settings, seed, now) }
+    }
+
+    /// What the watching instance would have done otherwise so far; none where there is no such instance.
+    pub fn differences(&self) -> Option<Differences> {
+        self.shadow.as_ref().map(Shadow::differences)
+    }
+
     /// A client asks to be served. Its number stands for it from now on.
     pub fn pick(&mut self, now: Micros, ask: Ask) -> (RequestId, Answer) {
         let request = self.number(ask);
@@ -195,7 +214,14 @@
     }
 
     fn hand(&mut self, now: Micros, event: Event) -> Option<Answer> {
+        let copy = self.shadow.as_mut().map(|shadow| {
+            shadow.align(&self.policy);
+            event.clone()
+        });
         self.policy.handle(now, event, &mut self.actions);
+        if let (Some(shadow), Some(event)) = (&mut self.shadow, copy) {
+            shadow.watch(now, event, &self.actions);
+        }
         self.settle(now)
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -292,7 +292,8 @@
             Event::List(kind, entries) => self.list(now, kind, entries, out),
             Event::Request(request) => {
                 self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
-                self.attempt(now, Conn::new(now, request), out);
+                let conn = self.conn(now, request);
+                self.attempt(now, conn, out);
             }
             Event::Open(request, server) => self.open(now, request, server),
             Event::Established { id, latency } => self.established(now, id, latency, out),
@@ -316,6 +317,36 @@
         }
     }
 
+    // ---- an instance that only watches ----
+
+    /// Chance falls as for the other instance from now on.
+    pub fn share_chance(&mut self, other: &Policy) {
+        self.rng = other.rng.clone();
+    }
+
+    /// A request that is held.
+    pub fn request(&self, id: RequestId) -> Option<Request> {
+        self.conns.get(&id).map(|conn| conn.request)
+    }
+
+    /// Whatever this instance chose: the request was sent to that server, or to none and is over.
+    pub fn follow(&mut self, now: Micros, request: Request, server: Option<ServerId>) {
+        let known = self.conns.remove(&request.id);
+        known.iter().for_each(|conn| self.leave(conn));
+        let Some(&s) = server.and_then(|server| self.by_id.get(&server)) else { return };
+        let mut conn = known.unwrap_or_else(|| self.conn(now, request));
+        if conn.stage.trying() {
+            conn.tried.pop();
+        }
+        self.send(now, s, conn);
+    }
+
+    /// Whatever this instance chose: the client was not told to move.
+    pub fn stays(&mut self, id: RequestId) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.stage = conn.stage.server().map_or(conn.stage, Stage::Open);
+    }
+
     fn log(&mut self, of: Option<ServerId>, line: String, out: &mut Vec<Action>) {
         if self.log_left > 0 {
             self.log_left -= 1;
@@ -542,7 +573,7 @@
 
     fn open(&mut self, now: Micros, request: Request, server: ServerId) {
         let Some(&s) = self.by_id.get(&server) else { return };
-        let conn = Conn { stage: Stage::Open(s), ..Conn::new(now, request) };
+        let conn = Conn { stage: Stage::Open(s), ..self.conn(now, request) };
         self.enter(&conn);
         self.learn(&request, request.hint);
         self.conns.insert(request.id, conn);
@@ -550,8 +581,14 @@
 
     // ---- requests ----
 
+    /// A request as this node takes it: in its group only where groups share work.
+    fn conn(&self, now: Micros, request: Request) -> Conn {
+        let group = request.group.filter(|_| self.set.groups);
+        Conn::new(now, Request { group, ..request })
+    }
+
     /// Sends a request to a server, or answers it at once where that cannot be.
-    fn attempt(&mut self, now: Micros, mut conn: Conn, out: &mut Vec<Action>) {
+    fn attempt(&mut self, now: Micros, conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
         // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
         // what leaves that comes too late (additive increase, multiplicative decrease).
@@ -564,14 +601,18 @@
             self.conns.insert(id, conn);
             return;
         }
+        out.push(Action::Send(id, self.servers[s].entry.id, None));
+        self.send(now, s, conn);
+    }
+
+    fn send(&mut self, now: Micros, s: usize, mut conn: Conn) {
         conn.stage = Stage::Trying(s);
         conn.sent = now;
         conn.tried.push(s);
         self.servers[s].sent = now;
         self.servers[s].permits = self.servers[s].permits.saturating_sub(1);
         self.enter(&conn);
-        out.push(Action::Send(id, self.servers[s].entry.id, None));
-        self.conns.insert(id, conn);
+        self.conns.insert(conn.request.id, conn);
     }
 
     /// Whether a request waits for a probe's load ratio before it lands: the record of one node of many says
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,8 @@
 //!
 //! The drill hands them over as lines of `path=value`, the node as nested JSON flattened to the same paths.
 
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
 use std::str::FromStr;
 
 use thiserror::Error;
@@ -16,6 +17,9 @@
 /// What can be wrong with settings.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum SettingsError {
+    /// A key that nothing reads, where that is not allowed.
+    #[error("the key {0} is not known")]
+    Unknown(String),
     /// A key that the decisions need is not there.
     #[error("the key {0} is missing")]
     Missing(String),
@@ -35,12 +39,27 @@
 pub struct Keys {
     values: HashMap<String, String>,
     place: &'static str,
+    /// Keys that were asked for.
+    read: RefCell<BTreeSet<String>>,
 }
 
 impl Keys {
     /// Values found at `place`: a prefix of their paths in messages, perhaps empty.
     pub fn new(place: &'static str, values: impl IntoIterator<Item = (String, String)>) -> Self {
-        Keys { values: values.into_iter().collect(), place }
+        Keys { values: values.into_iter().collect(), place, read: RefCell::default() }
+    }
+
+    /// These values, and below them those of `other`; messages name the place of these.
+    pub fn above(&self, other: &Keys) -> Self {
+        let both = other.values.iter().chain(&self.values);
+        Keys::new(self.place, both.map(|(key, value)| (key.clone(), value.clone())))
+    }
+
+    /// Refuses what stands here and was not read from `whole`: a misspelt key would be taken for its default.
+    pub fn all_read(&self, whole: &Keys) -> Result<(), SettingsError> {
+        let read = whole.read.borrow();
+        let unknown = self.values.keys().filter(|key| !read.contains(*key)).min();
+        unknown.map_or(Ok(()), |key| Err(SettingsError::Unknown(format!("{}{key}", self.place))))
     }
 
     /// Lines of `path=value`; others are ignored.
@@ -51,6 +70,7 @@
 
     /// The value as it stands.
     pub fn text(&self, key: &str) -> Result<&str, SettingsError> {
+        self.read.borrow_mut().insert(key.to_owned());
         let found = self.values.get(key).map(String::as_str);
         found.ok_or_else(|| SettingsError::Missing(format!("{}{key}", self.place)))
     }
@@ -99,6 +119,7 @@
 
     /// A list of plain values; a key that is absent is an empty list.
     pub fn list(&self, key: &str) -> Vec<&str> {
+        self.read.borrow_mut().insert(key.to_owned());
         let value = self.values.get(key).map(String::as_str).unwrap_or_default();
         value.split(',').map(str::trim).filter(|item| !item.is_empty()).collect()
     }
@@ -110,6 +131,16 @@
     if balancers == 0 {
         return Err(keys.bad("balancers", "0", "one or more"));
     }
+    let groups = keys.flag("extra.groups").or_else(absent(false))?;
+    let group_load = keys.number("extra.group_load");
+    if let (false, Ok(load)) = (groups, &group_load) {
+        // Somebody means connections to share work: with groups off nothing would be done about it.
+        return Err(keys.bad(
+            "extra.group_load",
+            &load.to_string(),
+            "of any use while extra.groups is not true",
+        ));
+    }
     Ok(Settings {
         balancers,
         zone: keys.read("my_zone", "a zone's number")?,
@@ -138,8 +169,8 @@
         tells_delay: keys.flag("extra.tells_delay").or_else(absent(true))?,
         // The facade asks for it; on the drill, where a break is told at once, it costs more than it gains.
         empty_draining: false,
-        groups: keys.flag("extra.groups").or_else(absent(false))?,
-        group_load: keys.number("extra.group_load").or_else(absent(GROUP_LOAD))?,
+        groups,
+        group_load: group_load.or_else(absent(GROUP_LOAD))?,
         report_fields: (keys.list("load_info.columns").iter())
             .map(|field| match *field {
                 "x0" => ReportField::LoadRatio,
--- /dev/null
+++ b/tests/shadow.rs
@@ -0,0 +1,121 @@
+//! The watching instance changes nothing, and counts what it would have done otherwise.
+
+use alderstile::facade::{Answer, Ask, Facade};
+use alderstile::interface::*;
+use alderstile::shadow::Differences;
+use proptest::prelude::*;
+
+mod support;
+use support::{entry, ms, settings};
+
+/// Plays a script of small numbers: what the deciding instance answers and does, and what was counted.
+fn play(
+    script: &[(u8, u8, u8)],
+    set: &Settings,
+    shadow: Option<Settings>,
+) -> (Vec<String>, Option<Differences>) {
+    let mut now = ms(1_000_000);
+    let mut facade = Facade::watched(set.clone(), shadow, 7, now);
+    facade.report_list(now, ListKind::Full, (1..=9).map(entry).collect());
+    let (mut told, mut open) = (Vec::new(), Vec::<(RequestId, ServerId)>::new());
+    for &(what, which, value) in script {
+        now = now + ms(u64::from(value));
+        let chosen = (!open.is_empty()).then(|| usize::from(which) % open.len().max(1));
+        match (what % 8, chosen) {
+            (0..=2, _) => {
+                let group = Some(GroupId(1 + u64::from(which % 5)));
+                let ask = Ask { class: 0, group, key: None, hint: None, remaining: ms(1_200) };
+                let (id, mut answer) = facade.pick(now, ask);
+                told.push(format!("{answer:?}"));
+                if let (Answer::Try(server, _), 0) = (answer, value % 4) {
+                    answer = facade.report_failed(now, id, server, Outcome::Error);
+                    told.push(format!("{answer:?}"));
+                }
+                if let Answer::Try(server, _) = answer {
+                    facade.report_up(now, id, ms(u64::from(value)));
+                    open.push((id, server));
+                }
+            }
+            (3, Some(i)) => {
+                let (id, server) = open.swap_remove(i);
+                facade.report_ended(
+                    now,
+                    id,
+                    server,
+                    if value % 2 == 0 { Outcome::Ok } else { Outcome::Reset },
+                );
+            }
+            (4, Some(i)) => facade.report_left(now, open.swap_remove(i).0),
+            (5, Some(i)) => {
+                let (id, server) = open[i];
+                facade.report_load(now, id, server, f64::from(value) * 400.0);
+            }
+            (6, _) => {
+                let state =
+                    [ServerState::Ready, ServerState::Draining, ServerState::Gone][usize::from(value % 3)];
+                let entries = vec![ServerEntry { state, ..entry(1 + u64::from(which % 9)) }];
+                facade.report_list(now, ListKind::Delta, entries);
+            }
+            _ => {
+                now = now + ms(1_000);
+                let chores = facade.tick(now);
+                for id in &chores.moves {
+                    open.retain(|(held, server)| {
+                        let moved = held == id;
+                        if moved {
+                            facade.report_ended(now, *held, *server, Outcome::Cancelled);
+                        }
+                        !moved
+                    });
+                }
+                told.push(format!("{:?} {:?}", chores.moves, chores.tell));
+            }
+        }
+    }
+    (told, facade.differences())
+}
+
+fn new_shape() -> Settings {
+    Settings { balancers: 50, groups: true, ..settings() }
+}
+
+proptest! {
+    #[test]
+    fn the_deciding_instance_acts_alike_watched_or_not(script in prop::collection::vec(any::<(u8, u8, u8)>(), 0..200)) {
+        let set = settings();
+        let (alone, none) = play(&script, &set, None);
+        prop_assert_eq!(none, None);
+        let (watched, counted) = play(&script, &set, Some(new_shape()));
+        prop_assert_eq!(&alone, &watched);
+        prop_assert!(counted.is_some_and(|counted| counted.total() <= counted.decisions));
+    }
+
+    #[test]
+    fn with_equal_settings_there_is_no_difference(script in prop::collection::vec(any::<(u8, u8, u8)>(), 0..200)) {
+        for set in [settings(), new_shape()] {
+            let (_, counted) = play(&script, &set, Some(set.clone()));
+            prop_assert_eq!(counted.map(|counted| counted.total()), Some(0));
+        }
+    }
+}
+
+#[test]
+fn what_the_new_shape_would_do_otherwise_is_counted_by_kind() {
+    // Nine connections of one group: by the old settings they spread, by the new ones they join.
+    let asks: Vec<(u8, u8, u8)> = (0..9).map(|_| (0, 1, 1)).collect();
+    let (_, counted) = play(&asks, &settings(), Some(new_shape()));
+    let counted = counted.expect("watched");
+    assert_eq!(counted.decisions, 9);
+    assert!((5..=9).contains(&counted.elsewhere), "{counted}");
+    assert_eq!(counted.total(), counted.elsewhere, "{counted}");
+    // One attempt out at once for each of 50 nodes: a second at the same time would be turned away.
+    let set = settings();
+    let mut facade = Facade::watched(set, Some(Settings { balancers: 100, ..settings() }), 7, ms(0));
+    facade.report_list(ms(0), ListKind::Full, (1..=9).map(entry).collect());
+    let ask = Ask { class: 0, group: None, key: None, hint: None, remaining: ms(1_200) };
+    for _ in 0..3 {
+        assert!(matches!(facade.pick(ms(1), ask).1, Answer::Try(..)));
+    }
+    let counted = facade.differences().expect("watched");
+    assert_eq!((counted.turned_away, counted.total()), (2, 2), "{counted}");
+}
