The limit of set-ups out at once is gone: only the retired session store asked for it

Known from the site files: a store is called at set-up at none of the four deployments (store_headroom 0). What failed everywhere is still held by saved retries (tested).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,8 +118,6 @@
 pub enum ReportField {
     /// Load asked over what the server can do.
     LoadRatio,
-    /// Seconds of work piled up.
-    PiledSeconds,
     /// Any other figure.
     Other,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,10 +55,6 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
-/// Set-ups of all nodes that may be out at once, each its share; the number follows what succeeds.
-const SETUPS_FIRST: f64 = 64.0;
-/// What a failed set-up leaves of that number.
-const SETUPS_CUT: f64 = 0.8;
 /// The weight of the newest value in running means.
 const NEWEST: f64 = 0.1;
 /// The first wait before the list is asked for again; doubled after each failure.
@@ -231,10 +227,6 @@
     /// What a set-up usually takes, at all servers.
     usual_setup_ms: Mean,
     retry_tokens: f64,
-    /// Set-ups that are out, how many may be, and this node's share of what all may have out at most.
-    setups_out: u32,
-    setups_allowed: f64,
-    setups_most: f64,
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
@@ -251,7 +243,6 @@
     pub fn new(settings: Settings, seed: u64, _now: Micros) -> Self {
         let classes = settings.classes.len();
         let shortest = settings.classes.iter().map(|c| c.message_aim.unwrap_or(c.aim)).min();
-        let setups_most = (SETUPS_FIRST / f64::from(settings.balancers.max(1))).max(1.0);
         Policy {
             late_at: shortest.unwrap_or(Micros(0)).scale(LATE_SHARE),
             set: settings,
@@ -266,9 +257,6 @@
             held_load: vec![(0.0, 0); classes],
             usual_setup_ms: Mean::default(),
             retry_tokens: RETRY_CAP,
-            setups_out: 0,
-            setups_allowed: setups_most,
-            setups_most,
             ask_failures: 0,
             asking: false,
             log_left: LOG_LINES,
@@ -499,7 +487,6 @@
     /// Takes a connection, or one that is to become one, into the sums of its server.
     fn enter(&mut self, conn: &Conn) {
         let Some(s) = conn.stage.server() else { return };
-        self.setups_out += u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
         match conn.told {
@@ -519,7 +506,6 @@
     /// Takes it out again. An empty server's sum is nothing, whatever rounding has left of it.
     fn leave(&mut self, conn: &Conn) {
         let Some(s) = conn.stage.server() else { return };
-        self.setups_out -= u32::from(conn.stage.trying());
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
         match conn.told {
@@ -590,10 +576,7 @@
     /// Sends a request to a server, or answers it at once where that cannot be.
     fn attempt(&mut self, now: Micros, conn: Conn, out: &mut Vec<Action>) {
         let id = conn.request.id;
-        // Guards a shared store that has slowed down: more set-ups than it can take only fill its queue, and
-        // what leaves that comes too late (additive increase, multiplicative decrease).
-        let open = f64::from(self.setups_out) < self.setups_allowed;
-        let more = open && (conn.tried.len() as u32) < self.set.max_attempts && now < conn.deadline;
+        let more = (conn.tried.len() as u32) < self.set.max_attempts && now < conn.deadline;
         let Some(s) = more.then(|| self.choose(now, &conn)).flatten() else {
             return self.give_up(&conn, out);
         };
@@ -767,8 +750,6 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
-        self.setups_out -= 1;
-        self.setups_allowed = (self.setups_allowed + 1.0 / self.setups_allowed).min(self.setups_most);
         conn.ran.get_or_insert((s, conn.sent));
         let request = conn.request;
         self.learn(&request, request.hint);
@@ -809,10 +790,6 @@
         let itself = matches!(outcome, Outcome::Ok | Outcome::Cancelled);
         self.ended += u32::from(itself && matches!(conn.stage, Stage::Open(_)));
         if let Some(s) = conn.stage.server() {
-            let failed = matches!(outcome, Outcome::Error | Outcome::Timeout);
-            if failed && conn.stage.trying() && !self.servers[s].shut {
-                self.setups_allowed = (self.setups_allowed * SETUPS_CUT).max(1.0);
-            }
             self.judge(now, s, &conn, outcome, out);
             if outcome.may_have_run() {
                 conn.ran.get_or_insert((s, conn.sent));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -174,7 +174,6 @@
         report_fields: (keys.list("load_info.columns").iter())
             .map(|field| match *field {
                 "x0" => ReportField::LoadRatio,
-                "x1" => ReportField::PiledSeconds,
                 _ => ReportField::Other,
             })
             .collect(),
