--- a/examples/client.py
+++ b/examples/client.py
@@ -1,9 +1,14 @@
-"""A client: asks to be served, says a line every 2 s, and comes again when it is told to move."""
+"""A client: asks to be served, says a line every 2 s, and comes again when it is told to move.
+
+An argument is its group, 16 hexadecimal digits."""
 
 import random
 import socket
+import sys
 import time
 
+GROUP = f",g={sys.argv[1]}" if len(sys.argv) > 1 else ""
+
 
 def once(lines):
     """Serves itself of one connection; true if it was told to move."""
@@ -15,7 +20,7 @@
             said.write(f"{line}\r\n".encode())
             said.flush()
 
-        say(f"OPEN {random.getrandbits(64):016x} 00000000000000aa c=chat,d=2000")
+        say(f"OPEN {random.getrandbits(64):016x} 00000000000000aa c=chat,d=2000{GROUP}")
         for line in said:
             word = line.decode().strip()
             print("<", word, flush=True)
