--- a/tests/shadow.rs
+++ b/tests/shadow.rs
@@ -2,11 +2,11 @@
 
 use alderstile::facade::{Answer, Ask, Facade};
 use alderstile::interface::*;
-use alderstile::shadow::Differences;
+use alderstile::shadow::{Differences, Shadow};
 use proptest::prelude::*;
 
 mod support;
-use support::{entry, ms, settings};
+use support::{entry, ms, request, settings};
 
 /// Plays a script of small numbers: what the deciding instance answers and does, and what was counted.
 fn play(
@@ -119,3 +119,35 @@
     let counted = facade.differences().expect("watched");
     assert_eq!((counted.turned_away, counted.total()), (3, 3), "{counted}");
 }
+
+#[test]
+fn the_second_instance_holds_clients_where_they_really_are() {
+    // It turns all of them away, and still knows whom it would move from a server that drains.
+    let mut now = ms(1_000);
+    let mut facade = Facade::watched(settings(), Some(Settings { max_attempts: 0, ..settings() }), 7, now);
+    facade.report_list(now, ListKind::Full, (1..=2).map(entry).collect());
+    let ask = Ask { class: 0, group: None, key: None, hint: None, remaining: ms(1_200) };
+    for _ in 0..4 {
+        let (id, answer) = facade.pick(now, ask);
+        assert!(matches!(answer, Answer::Try(..)));
+        facade.report_up(now, id, ms(5));
+    }
+    let draining = ServerEntry { state: ServerState::Draining, ..entry(1) };
+    facade.report_list(now, ListKind::Delta, vec![draining]);
+    now = now + ms(1_000);
+    assert_eq!(facade.tick(now).moves.len(), 1, "half of two");
+    let counted = facade.differences().expect("watched");
+    assert_eq!((counted.turned_away, counted.moved, counted.stayed), (4, 0, 0), "{counted}");
+}
+
+#[test]
+fn a_client_that_only_the_second_instance_would_move_stays_and_counts_again() {
+    let mut shadow = Shadow::new(settings(), 7, ms(0));
+    shadow.watch(ms(0), Event::List(ListKind::Full, (1..=2).map(entry).collect()), &[]);
+    (1..=4).for_each(|id| shadow.watch(ms(0), Event::Open(request(id), ServerId(1)), &[]));
+    for (second, moved) in [(1, 2), (2, 4)] {
+        shadow.watch(ms(second * 1_000), Event::DelayTold(ServerId(1), 900.0), &[]);
+        shadow.watch(ms(second * 1_000), Event::Timer(TimerToken(0)), &[]);
+        assert_eq!(shadow.differences().moved, moved, "half of four, each time");
+    }
+}
