--- a/src/policy.rs
+++ b/src/policy.rs
@@ -787,7 +787,7 @@
     fn ended(&mut self, now: Micros, id: RequestId, outcome: Outcome, closed: bool, out: &mut Vec<Action>) {
         let Some(mut conn) = self.conns.remove(&id) else { return };
         self.leave(&conn);
-        let itself = matches!(outcome, Outcome::Ok | Outcome::Cancelled);
+        let itself = outcome == Outcome::Ok;
         self.ended += u32::from(itself && matches!(conn.stage, Stage::Open(_)));
         if let Some(s) = conn.stage.server() {
             self.judge(now, s, &conn, outcome, out);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -581,11 +581,18 @@
         (1..=20).for_each(|id| node.open_as(grouped(id), 1 + (seed + id) % 49));
         node.pass(ms(12_000));
         (1..=6).for_each(|id| node.end(id, Outcome::Ok));
+        // Clients that a server sends away come again: their lives are not over, and the budget is no larger for them.
+        for round in 0..6 {
+            for id in 7..=20 {
+                node.end(id + 100 * round, Outcome::Cancelled);
+                node.open_as(grouped(id + 100 * (round + 1)), 1 + (seed + id) % 49);
+            }
+        }
         node.list(ListKind::Delta, vec![cold]);
         for (second, sent) in sends.iter_mut().enumerate() {
             for i in 0..8 {
                 // Groups that no node holds yet, each on the same few servers at all nodes.
-                let id = 100 + second as u64 * 8 + i;
+                let id = 1_000 + second as u64 * 8 + i;
                 node.ask(Request { group: Some(GroupId(id)), ..request(id) });
                 *sent += u32::from(node.where_is(id) == Some(50));
                 node.establish(id);
