Operators' address with ready and figures, and hosts out by hand

Hosts out drain for the decisions by an overlay in the library; figures counted once each in the session.

--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given its defaults.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use alderstile::interface::{Micros, Settings};
@@ -62,6 +62,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin_addr: Option<SocketAddr>,
+    /// Where a process leaves what the next one of this node is to know, if anywhere.
+    pub state_dir: Option<PathBuf>,
     /// Where the server list is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -100,14 +104,20 @@
             .map_err(|error| ConfigError::File { path: shown.clone(), error })?;
         let mut value: Value =
             serde_json::from_str(&text).map_err(|error| ConfigError::Json { path: shown, error })?;
-        for (key, variable) in
-            [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY")]
-        {
+        for (key, variable) in [
+            ("name", "ROUTER_NAME"),
+            ("listen", "ROUTER_LISTEN"),
+            ("discovery", "ROUTER_DISCOVERY"),
+            ("admin_addr", "ROUTER_ADMIN_ADDR"),
+        ] {
             if let (Some(fields), Some(text)) = (value.as_object_mut(), env(variable)) {
                 fields.insert(key.to_owned(), Value::String(text));
             }
         }
-        Self::parse(value)
+        let config = Self::parse(value)?;
+        // Without operators there is nothing to leave.
+        let state_dir = config.admin_addr.and_then(|_| env("TMPDIR")).map(PathBuf::from);
+        Ok(Config { state_dir, ..config })
     }
 
     /// Checks a configuration.
@@ -135,6 +145,8 @@
         Ok(Config {
             name: keys.text("name")?.to_owned(),
             listen: keys.read("listen", address)?,
+            admin_addr: keys.read("admin_addr", address).map(Some).or_else(absent(None))?,
+            state_dir: None,
             discovery: keys.read("discovery", address)?,
             seed: match keys.text("seed") {
                 Ok(text) => u64::from_str_radix(text, 16)
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -3,10 +3,13 @@
 //! One file for each job. [`node`] is what all tasks share, everything runs on one thread, and nothing here
 //! decides where a client goes: that is the library's.
 
+pub mod admin;
 pub mod buffer;
 pub mod clock;
 pub mod config;
+pub mod counters;
 pub mod discovery;
+pub mod kept;
 pub mod listener;
 pub mod lobby;
 pub mod node;
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -7,7 +7,7 @@
 use alderstile_node::config::Config;
 use alderstile_node::node::Node;
 use alderstile_node::peers::Peers;
-use alderstile_node::{discovery, listener, reload, shutdown};
+use alderstile_node::{admin, discovery, listener, reload, shutdown};
 use lexopt::{Arg, Parser, ValueExt};
 use log::{error, info};
 use tokio::signal::unix::{SignalKind, signal};
@@ -26,7 +26,8 @@
   help          print this
 
 The configuration is a JSON file: FILE, or the one that ROUTER_CONFIG names. ROUTER_NAME, ROUTER_LISTEN and
-ROUTER_DISCOVERY stand above its name, listen and discovery; at a reload the file's discovery counts. RUST_LOG sets what is logged (info if not set).
+ROUTER_DISCOVERY stand above its name, listen and discovery, ROUTER_ADMIN_ADDR above its admin_addr; at a reload the
+file's discovery counts. RUST_LOG sets what is logged (info if not set).
 ";
 
 enum Command {
@@ -104,6 +105,11 @@
         let mut int = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
         // Handled before anything else is done: unhandled, it ends the process.
         let mut hangup = signal(SignalKind::hangup()).map_err(|error| format!("signals: {error}"))?;
+        if let Some(address) = node.config.admin_addr {
+            let listener =
+                listener::bind(address).map_err(|error| format!("admin_addr {address}: {error}"))?;
+            spawn_local(admin::run(node.clone(), listener));
+        }
         let listener = listener::bind(listen).map_err(|error| format!("listen {listen}: {error}"))?;
         let peers = Peers::bind(&node).await.map_err(|error| format!("peer_listen: {error}"))?;
         let listen = listener.local_addr().map_err(|error| format!("listen {listen}: {error}"))?;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -12,14 +13,17 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::admin;
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::counters::{Counters, Gauges};
 use crate::discovery::{Health, List, server_id};
+use crate::kept::{Kept, Stand};
 use crate::lobby::Lobby;
 use crate::reason::Reason;
 
-/// Descriptors that are no connections of clients or to hosts: the runtime's, the listener, discovery, peers, logs.
-const OWN_DESCRIPTORS: usize = 32;
+/// Descriptors that are no connections of clients or to hosts: the runtime's, the listeners, discovery, peers, logs.
+const OWN_DESCRIPTORS: usize = 24;
 
 /// Ids of ended requests that are still known: a repeated one comes within moments. At most 4 MB, at 4 KiB a line.
 const ENDED_IDS: usize = 1024;
@@ -81,6 +85,9 @@
     leaving: Cell<bool>,
     all_moved: Cell<bool>,
     descriptors: Rc<Cell<usize>>,
+    inflight: Rc<Cell<usize>>,
+    counters: RefCell<Counters>,
+    kept: RefCell<Kept>,
 }
 
 /// Ids of requests: those that are open, and the last that have ended.
@@ -105,10 +112,17 @@
     }
 }
 
-/// A descriptor in use, counted while this lives.
-pub struct Descriptor(Rc<Cell<usize>>);
+/// One of something, counted while this lives.
+pub struct Counted(Rc<Cell<usize>>);
 
-impl Drop for Descriptor {
+impl Counted {
+    fn one_of(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -121,8 +135,11 @@
         let facade =
             Facade::watched(config.settings.clone(), config.shadow.clone(), config.seed, clock.now());
         let known = config.known.clone();
+        let kept = config.state_dir.as_deref().map(|dir| Kept::load(dir, &config.name)).unwrap_or_default();
+        let mut counters = Counters::default();
+        counters.classes(&config.classes);
         let node = Node {
-            lobby: Lobby::new(config.sockets.saturating_sub(OWN_DESCRIPTORS)),
+            lobby: Lobby::new(config.sockets.saturating_sub(own_descriptors(&config))),
             discovery: Cell::new(config.discovery),
             config,
             clock,
@@ -138,7 +155,13 @@
             leaving: Cell::new(false),
             all_moved: Cell::new(false),
             descriptors: Rc::default(),
+            inflight: Rc::default(),
+            counters: RefCell::new(counters),
+            kept: RefCell::new(kept),
         };
+        for (host, stand) in node.kept.borrow().hosts() {
+            node.decide(|facade, now| stand.apply(facade, now, server_id(host)));
+        }
         node.take_addresses(&known);
         node.decide(|facade, now| {
             facade.report_list(now, ListKind::Cached, known.entries(&node.config.zones))
@@ -261,13 +284,51 @@
     }
 
     /// One more descriptor, unless fewer than `spare` more are left.
-    pub fn descriptor(&self, spare: usize) -> Option<Descriptor> {
-        let held = self.descriptors.get();
-        if held + OWN_DESCRIPTORS + spare >= self.config.sockets {
-            return None;
+    pub fn descriptor(&self, spare: usize) -> Option<Counted> {
+        let held = self.descriptors.get() + own_descriptors(&self.config);
+        (held + spare < self.config.sockets).then(|| Counted::one_of(&self.descriptors))
+    }
+
+    /// A request is taken from now on, until what is returned is dropped.
+    pub fn take(&self) -> Counted {
+        Counted::one_of(&self.inflight)
+    }
+
+    /// Counts something.
+    pub fn count(&self, what: impl FnOnce(&mut Counters)) {
+        what(&mut self.counters.borrow_mut());
+    }
+
+    /// The figures for operators, as text.
+    pub fn figures(&self) -> String {
+        let gauges = self.decide(|facade, now| Gauges {
+            inflight: self.inflight.get(),
+            hosts_listed: facade.maintenance().listed(),
+            hosts_down: facade.avoided(now),
+        });
+        self.counters.borrow().render(gauges)
+    }
+
+    /// Takes a host out by hand or puts it back. It is so in the decisions and on disk before this returns; false where
+    /// nobody has that host.
+    pub async fn maintain(&self, host: &str, online: bool) -> io::Result<bool> {
+        let id = server_id(host);
+        let (known, out) = self.decide(|facade, _| {
+            let hosts = facade.maintenance();
+            (hosts.knows(id), hosts.is_out(id))
+        });
+        if known && online == out {
+            let stand = if online { Stand::Back(self.clock.now().0) } else { Stand::Out };
+            let mut kept = self.kept.borrow().clone();
+            kept.set(host, stand, self.clock.now());
+            if let Some(dir) = &self.config.state_dir {
+                kept.save(dir, &self.config.name)?;
+            }
+            self.kept.replace(kept);
+            self.decide(|facade, now| stand.apply(facade, now, id));
+            info!("host {host}: {} by hand", if online { "back" } else { "out" });
         }
-        self.descriptors.set(held + 1);
-        Some(Descriptor(self.descriptors.clone()))
+        Ok(known)
     }
 
     /// Descriptors that connections hold now.
@@ -320,6 +381,11 @@
     }
 }
 
+/// Descriptors that are kept for the node itself.
+fn own_descriptors(config: &Config) -> usize {
+    OWN_DESCRIPTORS + config.admin_addr.map_or(0, |_| admin::PLACES)
+}
+
 /// Sleeps until a moment; for ever where there is none.
 pub async fn sleep_until(moment: Option<Instant>) {
     match moment {
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -12,9 +12,10 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::buffer::{LineBuffer, MAX_LINE};
+use crate::counters::Ended;
 use crate::discovery::server_id;
 use crate::lobby::Guest;
-use crate::node::{Descriptor, HostAt, Node, OpenId};
+use crate::node::{Counted, HostAt, Node, OpenId};
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
 use crate::relay::{self, Ending};
@@ -203,7 +204,10 @@
     let Some(ClientLine::Open(open)) = client_line(line) else { return Err(Reason::ClientMalformed) };
     let class = node.config.classes.iter().position(|class| class.as_bytes() == open.class);
     let class = class.and_then(|class| u16::try_from(class).ok()).ok_or(Reason::ClientUnknownClass)?;
-    let id = node.open_id(open.id).ok_or(Reason::ClientDuplicateId)?;
+    let Some(id) = node.open_id(open.id) else {
+        node.count(|counters| counters.ended(class, Ended::Failure));
+        return Err(Reason::ClientDuplicateId);
+    };
     Ok((open, class, id))
 }
 
@@ -233,7 +237,7 @@
     server: ServerId,
     name: Rc<str>,
     host: Side,
-    _descriptor: Descriptor,
+    _descriptor: Counted,
 }
 
 /// How a request was placed.
@@ -246,6 +250,7 @@
 
 impl Session<'_> {
     async fn run(mut self, mut client: Side) {
+        let taken = self.node.take();
         let wait = Duration::from_millis(self.open.wait_ms).min(LONGEST_WAIT);
         let deadline = self.arrived + wait.saturating_sub(MARGIN);
         let placed = match self.open.at {
@@ -253,15 +258,24 @@
             None => self.place(&mut client, deadline).await,
         };
         match placed {
-            Placed::Up(up) => self.serve(client, up).await,
+            Placed::Up(up) => {
+                self.count(Ended::Success);
+                self.serve(client, up, taken).await;
+            }
             Placed::Answered(reason, line) => {
                 self.log(reason, "-");
+                self.count(if reason == Reason::Failed { Ended::Failure } else { Ended::Busy });
+                drop(taken);
                 client.close_with(&line).await;
             }
             Placed::ClientGone => self.log(Reason::ClientGaveUp, "-"),
         }
     }
 
+    fn count(&self, how: Ended) {
+        self.node.count(|counters| counters.ended(self.class, how));
+    }
+
     fn log(&self, reason: Reason, host: &str) {
         let (id, attempts) = (String::from_utf8_lossy(self.open.id), self.attempts);
         let class = String::from_utf8_lossy(self.open.class);
@@ -386,7 +400,7 @@
         let left = until.saturating_duration_since(Instant::now()).as_millis();
         let line = self.open.for_host(self.line, u64::try_from(left).unwrap_or(u64::MAX));
         match timeout_at(until, host.stream.write_all(&line)).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => self.node.count(|counters| counters.backend_calls += 1),
             // Until the last byte is out nothing can have run.
             _ => return Tried::Failed(Outcome::ConnectFailed),
         }
@@ -404,7 +418,7 @@
     }
 
     /// Passes `UP` and everything after it on, until one side ends.
-    async fn serve(&self, mut client: Side, up: Up) {
+    async fn serve(&self, mut client: Side, up: Up, taken: Counted) {
         let Up { id, server, name, mut host, _descriptor } = up;
         let shown = String::from_utf8_lossy(self.open.id);
         debug!("up id={shown} number={} host={name} attempts={} up_ms={}", id.0, self.attempts, self.up_ms);
@@ -422,6 +436,7 @@
             _ => facade.report_ended(now, id, server, Outcome::Reset),
         });
         self.log(reason, &name);
+        drop(taken);
         match ending {
             Ending::Both(last) => {
                 drop(host);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -8,6 +8,7 @@
 use std::collections::BinaryHeap;
 
 use crate::interface::*;
+use crate::maintenance::Maintenance;
 use crate::notes::{Note, Notes};
 use crate::policy::Policy;
 use crate::shadow::{Differences, Shadow};
@@ -64,6 +65,7 @@
     shadow: Option<Shadow>,
     /// Where servers tell delays too, what they tell is to be told apart.
     notes: Option<Notes>,
+    maintenance: Maintenance,
     timers: BinaryHeap<Reverse<(Micros, TimerToken)>>,
     last_id: u64,
     actions: Vec<Action>,
@@ -78,6 +80,7 @@
             notes: settings.tells_delay.then(Notes::default),
             policy: Policy::new(settings, seed, now),
             shadow: None,
+            maintenance: Maintenance::default(),
             timers: BinaryHeap::new(),
             last_id: 0,
             actions: Vec::new(),
@@ -169,9 +172,38 @@
 
     /// A server list has come, or a call for it has failed.
     pub fn report_list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>) {
+        let entries = self.maintenance.lay_over(kind, entries);
         self.hand(now, Event::List(kind, entries));
     }
 
+    /// From now on nothing new goes to this server, whatever the list says: operators took it out.
+    pub fn take_out(&mut self, now: Micros, server: ServerId) {
+        let change = self.maintenance.take_out(server);
+        self.relist(now, change);
+    }
+
+    /// Operators put this server back at `since`: from now on it is as the list says, but cold from then on at least.
+    pub fn put_back(&mut self, now: Micros, server: ServerId, since: Micros) {
+        let change = self.maintenance.put_back(since, server);
+        self.relist(now, change);
+    }
+
+    fn relist(&mut self, now: Micros, change: Option<ServerEntry>) {
+        if let Some(entry) = change {
+            self.hand(now, Event::List(ListKind::Delta, vec![entry]));
+        }
+    }
+
+    /// Which servers operators took out, and how many are listed.
+    pub fn maintenance(&self) -> &Maintenance {
+        &self.maintenance
+    }
+
+    /// Listed servers that nothing new is sent to now: they drain, are out by hand, pause or are late.
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.policy.avoided(now)
+    }
+
     /// Another node has sent a message.
     pub fn report_peer(&mut self, now: Micros, from: u32, data: Vec<u8>) {
         self.hand(now, Event::Peer(from, data));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -863,6 +863,16 @@
         server.delay.is_some_and(|d| !d.doubt && d.span >= self.late_at && now < d.at + fresh)
     }
 
+    /// Listed servers that draw nothing new now: for people, it decides nothing.
+    pub fn avoided(&self, now: Micros) -> usize {
+        let listed = |&s: &usize| self.servers[s].entry.state != ServerState::Gone;
+        let away = |&s: &usize| {
+            let server = &self.servers[s];
+            !server.entry.ready() || now < server.paused_until || self.late(now, s)
+        };
+        (0..self.servers.len()).filter(listed).filter(away).count()
+    }
+
     /// The reactive trigger. A queue that grows tells how far a server is over what it can do, and its length
     /// what is to be cleared: what is above both is its excess. The server is believed to be as much slower
     /// than the others as its load says, or it would be filled up again.
--- /dev/null
+++ b/tests/maintenance.rs
@@ -0,0 +1,125 @@
+//! Hosts out by hand, laid over whatever lists say.
+
+use std::collections::BTreeMap;
+
+use alderstile::interface::*;
+use alderstile::maintenance::Maintenance;
+use proptest::prelude::*;
+
+const NOW: Micros = Micros(5_000_000);
+
+fn entry(id: u64, state: ServerState, started: Option<Micros>) -> ServerEntry {
+    ServerEntry { id: ServerId(id), state, started, ..ServerEntry::default() }
+}
+
+fn states(entries: &[ServerEntry]) -> Vec<ServerState> {
+    entries.iter().map(|entry| entry.state).collect()
+}
+
+#[test]
+fn a_host_that_is_out_drains_whatever_the_lists_say() {
+    let mut hosts = Maintenance::default();
+    hosts.lay_over(
+        ListKind::Full,
+        vec![entry(1, ServerState::Ready, None), entry(2, ServerState::Ready, None)],
+    );
+    let change = hosts.take_out(ServerId(1)).expect("a change");
+    assert_eq!(change.state, ServerState::Draining);
+    for kind in [ListKind::Full, ListKind::Delta, ListKind::Cached] {
+        let up = vec![entry(1, ServerState::Ready, Some(Micros(7))), entry(2, ServerState::Ready, None)];
+        assert_eq!(states(&hosts.lay_over(kind, up)), [ServerState::Draining, ServerState::Ready]);
+    }
+    let gone = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Gone, None)]);
+    assert_eq!(states(&gone), [ServerState::Gone], "what is gone stays gone");
+    assert!(hosts.knows(ServerId(1)), "it can be put back");
+    assert_eq!(hosts.listed(), 1);
+    let again = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Ready, None)]);
+    assert_eq!(states(&again), [ServerState::Draining]);
+}
+
+#[test]
+fn it_comes_back_as_listed_and_cold_from_the_call_on() {
+    let mut hosts = Maintenance::default();
+    hosts.lay_over(ListKind::Full, vec![entry(1, ServerState::Ready, Some(Micros(7)))]);
+    hosts.take_out(ServerId(1));
+    assert!(hosts.take_out(ServerId(1)).is_some_and(|entry| !entry.ready()), "a second call changes nothing");
+    let back = hosts.put_back(NOW, ServerId(1)).expect("a change");
+    assert_eq!((back.state, back.started), (ServerState::Ready, Some(NOW)));
+    assert!(hosts.put_back(NOW + NOW, ServerId(1)).is_none(), "one call back undoes two");
+    // The list tells late of the restart that the operators did meanwhile.
+    let late = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Ready, Some(NOW - Micros(9)))]);
+    assert_eq!(late[0].started, Some(NOW));
+    let later = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Ready, Some(NOW + NOW))]);
+    assert_eq!(later[0].started, Some(NOW + NOW), "a start after the return counts");
+    let draining = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Draining, None)]);
+    assert_eq!(states(&draining), [ServerState::Draining]);
+}
+
+#[test]
+fn a_host_that_came_and_went_while_out_is_cold_when_listed_again() {
+    let mut hosts = Maintenance::default();
+    hosts.lay_over(ListKind::Full, vec![entry(1, ServerState::Ready, None)]);
+    hosts.take_out(ServerId(1));
+    hosts.lay_over(ListKind::Full, vec![]);
+    assert!(hosts.put_back(NOW, ServerId(1)).is_none(), "nothing to tell the decisions");
+    assert!(!hosts.knows(ServerId(1)));
+    let listed = hosts.lay_over(ListKind::Delta, vec![entry(1, ServerState::Ready, None)]);
+    assert_eq!((listed[0].state, listed[0].started), (ServerState::Ready, Some(NOW)));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    List(bool, Vec<(u64, u8)>),
+    Out(u64),
+    Back(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (any::<bool>(), prop::collection::vec((0..5_u64, 0..3_u8), 0..5))
+            .prop_map(|(whole, e)| Step::List(whole, e)),
+        (0..5_u64).prop_map(Step::Out),
+        (0..5_u64).prop_map(Step::Back),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+proptest! {
+    /// However lists and calls follow one another, the decisions never see a host ready that is out, and see every
+    /// other one just as the list has it.
+    #[test]
+    fn what_the_decisions_see_is_the_list_under_the_hosts_out(steps in steps()) {
+        let (mut hosts, mut now) = (Maintenance::default(), Micros(0));
+        let (mut seen, mut list) = (BTreeMap::new(), BTreeMap::new());
+        let mut out = std::collections::BTreeSet::new();
+        for step in steps {
+            now = now + Micros(1);
+            let changes = match step {
+                Step::List(whole, entries) => {
+                    let state = |n| [ServerState::Ready, ServerState::Draining, ServerState::Gone][usize::from(n)];
+                    let entries: Vec<_> = entries.into_iter().map(|(id, n)| entry(id, state(n), None)).collect();
+                    if whole {
+                        (seen, list) = Default::default();
+                    }
+                    list.extend(entries.iter().map(|entry| (entry.id, entry.state)));
+                    let kind = if whole { ListKind::Full } else { ListKind::Delta };
+                    hosts.lay_over(kind, entries)
+                }
+                Step::Out(id) => {
+                    out.insert(ServerId(id));
+                    hosts.take_out(ServerId(id)).into_iter().collect()
+                }
+                Step::Back(id) => {
+                    out.remove(&ServerId(id));
+                    hosts.put_back(now, ServerId(id)).into_iter().collect()
+                }
+            };
+            seen.extend(changes.iter().map(|entry| (entry.id, entry.state)));
+            for (id, listed) in &list {
+                let wanted = if *listed == ServerState::Ready && out.contains(id) { ServerState::Draining } else { *listed };
+                prop_assert_eq!(seen.get(id), Some(&wanted));
+                prop_assert_eq!(hosts.is_out(*id), out.contains(id));
+            }
+        }
+    }
+}
