--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -1,11 +1,13 @@
 //! The one place where configuration is read, checked and given its defaults.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use alderstile::interface::{Micros, Settings};
 use alderstile::settings::{self, Keys, SettingsError, absent};
+use log::warn;
 use serde_json::Value;
 use thiserror::Error;
 
@@ -81,8 +83,10 @@
     pub peers_all: Option<SocketAddr>,
     /// The server list last known.
     pub known: List,
-    /// The classes by their numbers.
+    /// The classes by their numbers, which they keep for the process's life.
     pub classes: Vec<String>,
+    /// Classes that a later configuration named no more: they take no new requests.
+    pub gone: BTreeSet<String>,
     /// The zones by their numbers.
     pub zones: Vec<String>,
     /// How long a connection to a host may take.
@@ -93,18 +97,52 @@
     pub settings: Settings,
     /// What a second instance is told that only watches.
     pub shadow: Option<Settings>,
+    /// The file as it was read, but for the list known.
+    pub told: Value,
 }
 
+/// Where a process of a node finds others of the same node.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The node's name.
+    pub name: String,
+    /// What they share.
+    pub dir: PathBuf,
+}
+
+/// What the file tells that counts from the next start on, whatever it says at a reload.
+const FIXED: [&str; 10] = [
+    "name",
+    "listen",
+    "admin_addr",
+    "limits",
+    "peer_listen",
+    "peers",
+    "peers_all",
+    "settings.zones",
+    "settings.my_zone",
+    "seed",
+];
+
 impl Config {
     /// Reads and checks a file; `env` gives the values that stand above the file's.
     pub fn load(path: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        Self::of_file(Self::read(path, &env)?, env)
+    }
+
+    /// Reads a file; none named means the one that the environment names.
+    pub fn read(path: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Result<Value, ConfigError> {
         let path = path.map(Path::to_path_buf).or_else(|| env("ROUTER_CONFIG").map(Into::into));
         let path = path.ok_or(ConfigError::NoFile)?;
         let shown = path.display().to_string();
         let text = std::fs::read_to_string(&path)
             .map_err(|error| ConfigError::File { path: shown.clone(), error })?;
-        let mut value: Value =
-            serde_json::from_str(&text).map_err(|error| ConfigError::Json { path: shown, error })?;
+        serde_json::from_str(&text).map_err(|error| ConfigError::Json { path: shown, error })
+    }
+
+    /// Checks what a file holds; `env` gives the values that stand above the file's.
+    pub fn of_file(mut value: Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let mut told = value.clone();
         for (key, variable) in [
             ("name", "ROUTER_NAME"),
             ("listen", "ROUTER_LISTEN"),
@@ -118,13 +156,92 @@
         let config = Self::parse(value)?;
         // Without operators there is nothing to leave.
         let state_dir = config.admin_addr.and_then(|_| env("TMPDIR")).map(PathBuf::from);
-        Ok(Config { state_dir, ..config })
+        if let Some(fields) = told.as_object_mut() {
+            fields.remove("known");
+        }
+        Ok(Config { state_dir, told, ..config })
+    }
+
+    /// Who a process is that starts, also where its file can't be used; none where it can't find others of its node.
+    pub fn identity(path: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Option<Identity> {
+        let file = Self::read(path, &env).unwrap_or_default();
+        let text = |key: &str| file.get(key).and_then(Value::as_str).map(str::to_owned);
+        env("ROUTER_ADMIN_ADDR").or_else(|| text("admin_addr"))?;
+        let name = env("ROUTER_NAME").or_else(|| text("name"))?;
+        Some(Identity { name, dir: env("TMPDIR")?.into() })
+    }
+
+    /// A new configuration for a process that serves by this one, and the keys that wait for the next start. What this
+    /// one's file told the new one must tell too: a default would hide a lost key.
+    pub fn renewed(&self, value: Value) -> Result<(Self, Vec<&'static str>), ConfigError> {
+        if !value.is_object() {
+            return Err(Keys::new("", []).bad("(the whole file)", &plain(&value), "an object").into());
+        }
+        if let Some(key) = lacking(&self.told, &value) {
+            return Err(SettingsError::Missing(key).into());
+        }
+        let mut told = value.clone();
+        // What can't change is checked all the same, and says nothing.
+        let new = Self::parse(value)?;
+        if let Some(fields) = told.as_object_mut() {
+            fields.remove("known");
+        }
+        let at = |value: &Value, key: &str| {
+            key.split('.').try_fold(value.clone(), |value, key| value.get(key).cloned())
+        };
+        let waiting = FIXED.into_iter().filter(|key| at(&self.told, key) != at(&told, key)).collect();
+        let mut next = self.clone();
+        next.classes.extend(new.classes.iter().filter(|class| !self.classes.contains(class)).cloned());
+        next.gone = next.classes.iter().filter(|class| !new.classes.contains(class)).cloned().collect();
+        let numbered = |mut settings: Settings, old: &Settings| {
+            let place = |class: &String| new.classes.iter().position(|name| name == class);
+            let of = |(i, class)| {
+                place(class).map_or_else(|| &old.classes[i], |new| &settings.classes[new]).clone()
+            };
+            let classes = next.classes.iter().enumerate().map(of).collect();
+            settings.classes = classes;
+            Settings { zone: old.zone, ..settings }
+        };
+        let settings = numbered(new.settings.clone(), &self.settings);
+        // A class that is gone is watched by what is held of it.
+        let shadow =
+            new.shadow.clone().map(|shadow| numbered(shadow, self.shadow.as_ref().unwrap_or(&self.settings)));
+        let (discovery, stop_within, connect_timeout) = (new.discovery, new.stop_within, new.connect_timeout);
+        Ok((Config { settings, shadow, discovery, stop_within, connect_timeout, told, ..next }, waiting))
+    }
+
+    /// The configuration of a process that takes over from one that serves by `before`, which was told by `told`: its own
+    /// file, unless the one that serves would turn that down. What that one has learned counts.
+    pub fn taking_over(
+        hello: &Hello,
+        path: Option<&Path>,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let force = Self::of_file(hello.config.clone(), &env)?;
+        let file = Self::read(path, &env).and_then(|file| {
+            force.renewed(file.clone())?;
+            Self::of_file(file, &env)
+        });
+        let mut config = file.unwrap_or_else(|error| {
+            warn!("{error}; the configuration in force goes on");
+            force.clone()
+        });
+        let place =
+            |told: &Value| told.get("discovery").and_then(Value::as_str).and_then(|text| text.parse().ok());
+        // The file's word counts where it is new; otherwise the one that serves knows better than a start's environment.
+        config.discovery = match (place(&force.told), place(&config.told)) {
+            (old, Some(new)) if old != Some(new) => new,
+            _ => hello.discovery.unwrap_or(config.discovery),
+        };
+        config.known = hello.list.clone();
+        Ok(config)
     }
 
     /// Checks a configuration.
     pub fn parse(mut value: Value) -> Result<Self, ConfigError> {
         let mut part = |key: &str| value.as_object_mut().and_then(|fields| fields.remove(key));
         let (told, known, shadow) = (part("settings").unwrap_or_default(), part("known"), part("shadow"));
+        check_counts(&told)?;
         let set = flat("settings.", &told);
         let keys = flat("", &value);
         let known = match known {
@@ -137,6 +254,12 @@
             peers.map(|text| text.parse().map_err(|_| keys.bad("peers", text, "addresses and ports")));
         let count: u16 = set.read("classes.count", "a list of classes")?;
         let classes = (0..count).map(|i| set.text(&format!("classes.{i}.name")).map(str::to_owned));
+        let classes = classes.collect::<Result<Vec<_>, _>>()?;
+        if let Some(twice) = (1..classes.len()).find(|i| classes[..*i].contains(&classes[*i])) {
+            return Err(set
+                .bad(&format!("classes.{twice}.name"), &classes[twice], "a name of its own")
+                .into());
+        }
         let give_ups =
             (0..count).map(|i| set.micros(&format!("classes.{i}.give_up")).or_else(absent(GIVE_UP)));
         let longest = give_ups.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or(GIVE_UP);
@@ -159,23 +282,59 @@
             peers: peers.collect::<Result<_, _>>()?,
             peers_all: keys.read("peers_all", address).map(Some).or_else(absent(None))?,
             known,
-            classes: classes.collect::<Result<_, _>>()?,
+            classes,
+            gone: BTreeSet::new(),
             zones: set.list("zones").into_iter().map(str::to_owned).collect(),
             connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
             stop_within: Duration::from_micros(longest.0.min(LONGEST_GIVE_UP.0)) + STOP_AFTER,
             settings,
             shadow: shadow.flatten(),
+            told: Value::Null,
         })
     }
 }
 
-impl Config {
-    /// The same for a process that takes over from one that serves: what that one has learned counts.
-    pub fn taking_over(mut self, hello: &Hello) -> Self {
-        self.discovery = hello.discovery.unwrap_or(self.discovery);
-        self.known = hello.list.clone();
-        self
+/// The first key of the old values that the new ones lack. Classes are held against those of the same name, and may
+/// vanish; other lists are values.
+fn lacking(old: &Value, new: &Value) -> Option<String> {
+    let under =
+        |key: &str, rest: String| if rest.is_empty() { key.to_owned() } else { format!("{key}.{rest}") };
+    match (old, new) {
+        (Value::Null, _) => None,
+        (_, Value::Null) => Some(String::new()),
+        (Value::Object(old), _) => old.iter().find_map(|(key, old)| {
+            lacking(old, new.get(key).unwrap_or(&Value::Null)).map(|rest| under(key, rest))
+        }),
+        (Value::Array(old), Value::Array(new)) => old.iter().find_map(|old| {
+            let name = old.get("name")?;
+            let new = new.iter().find(|new| new.get("name") == Some(name))?;
+            lacking(old, new).map(|rest| under(&plain(name), rest))
+        }),
+        _ => None,
+    }
+}
+
+/// A deadline or a number of attempts: a whole number above 0, and no text that reads like one.
+fn above_zero(value: &Value, path: &str) -> Result<(), SettingsError> {
+    match value {
+        Value::Number(number) if number.as_u64().is_some_and(|number| number > 0) => Ok(()),
+        bad => Err(Keys::new("settings.", []).bad(path, &plain(bad), "a whole number above 0")),
+    }
+}
+
+/// Deadlines and numbers of attempts. What a start may leave to its default is not asked for.
+fn check_counts(settings: &Value) -> Result<(), SettingsError> {
+    if let Some(allowed) = settings.get("allowed") {
+        for key in ["max_attempts", "connect_timeout"] {
+            allowed.get(key).map_or(Ok(()), |value| above_zero(value, &format!("allowed.{key}")))?;
+        }
+    }
+    for (i, class) in settings.get("classes").and_then(Value::as_array).into_iter().flatten().enumerate() {
+        for key in ["aim", "give_up"] {
+            class.get(key).map_or(Ok(()), |value| above_zero(value, &format!("classes.{i}.{key}")))?;
+        }
     }
+    Ok(())
 }
 
 /// On sockets the list comes to those who watch it, whatever brings it on the drill.
--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -131,7 +131,7 @@
 /// watch or call that is out is dropped at once and the new address asked.
 pub async fn run(node: Rc<Node>) {
     // The version held, where it is one of the discovery that is asked.
-    let mut seq = Some(node.config.known.seq);
+    let mut seq = Some(node.config().known.seq);
     loop {
         tokio::select! {
             () = node.ask_list.notified() => {}
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -81,7 +81,7 @@
             let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
             println!("{name}: listens on {listen}, {classes} classes{shadow}: fine");
         }),
-        Ok(Command::Serve(path)) => load(path.as_deref()).and_then(|config| serve(config, path.as_deref())),
+        Ok(Command::Serve(path)) => serve(path.as_deref()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -102,9 +102,9 @@
 
 /// Listens for clients.
 fn listen(node: &Node) -> Result<TcpListener, String> {
-    let failed = |error| format!("listen {}: {error}", node.config.listen);
-    let listener = listener::bind_clients(&node.config).map_err(failed)?;
-    info!("{} listens on {}", node.config.name, listener.local_addr().map_err(failed)?);
+    let failed = |error| format!("listen {}: {error}", node.config().listen);
+    let listener = listener::bind_clients(&node.config()).map_err(failed)?;
+    info!("{} listens on {}", node.config().name, listener.local_addr().map_err(failed)?);
     Ok(listener)
 }
 
@@ -125,7 +125,7 @@
 }
 
 /// Serves until a signal comes and all clients have been told to move.
-fn serve(config: Config, path: Option<&Path>) -> Result<(), String> {
+fn serve(path: Option<&Path>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
     LocalSet::new().block_on(&runtime, async {
@@ -133,10 +133,18 @@
         let mut int = signal(SignalKind::interrupt()).map_err(|error| format!("signals: {error}"))?;
         // Handled before anything else is done: unhandled, it ends the process.
         let mut hangup = signal(SignalKind::hangup()).map_err(|error| format!("signals: {error}"))?;
-        let predecessor = upgrade::join(&config).await.map_err(|error| error.to_string())?;
-        let config = predecessor.iter().fold(config, |config, before| config.taking_over(&before.hello));
+        let predecessor = match Config::identity(path, env) {
+            Some(who) => upgrade::join(&who).await.map_err(|error| error.to_string())?,
+            None => None,
+        };
+        let config = match &predecessor {
+            Some(before) => {
+                Config::taking_over(&before.hello, path, env).map_err(|error| error.to_string())?
+            }
+            None => load(path)?,
+        };
         let node = Rc::new(Node::new(config));
-        if let Some(address) = node.config.admin_addr {
+        if let Some(address) = node.config().admin_addr {
             let listener =
                 listener::bind(address).map_err(|error| format!("admin_addr {address}: {error}"))?;
             spawn_local(admin::run(node.clone(), listener));
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -64,8 +64,8 @@
 
 /// One node.
 pub struct Node {
-    /// What it was told at its start.
-    pub config: Config,
+    /// What it was told last.
+    config: RefCell<Rc<Config>>,
     /// Its clock.
     pub clock: Clock,
     /// A watch of the server list is wanted.
@@ -150,7 +150,7 @@
         let node = Node {
             lobby: Lobby::new(config.sockets.saturating_sub(own_descriptors(&config))),
             discovery: Cell::new(config.discovery),
-            config,
+            config: RefCell::new(Rc::new(config)),
             clock,
             ask_list: Notify::new(),
             discovery_moved: Notify::new(),
@@ -179,11 +179,28 @@
         }
         node.take_addresses(&known);
         node.decide(|facade, now| {
-            facade.report_list(now, ListKind::Cached, known.entries(&node.config.zones))
+            facade.report_list(now, ListKind::Cached, known.entries(&node.config().zones))
         });
         node
     }
 
+    /// What the node was told last.
+    pub fn config(&self) -> Rc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Other settings from now on, all of them in this step.
+    pub fn renew(&self, config: Config) {
+        self.count(|counters| counters.classes(&config.classes));
+        let (settings, shadow) = (config.settings.clone(), config.shadow.clone());
+        self.decide(|facade, now| facade.renew(now, settings, shadow));
+        let discovery = config.discovery;
+        self.config.replace(Rc::new(config));
+        if discovery != self.discovery() {
+            self.move_discovery(discovery);
+        }
+    }
+
     /// Asks the decisions or reports to them, at this moment.
     pub fn decide<T>(&self, call: impl FnOnce(&mut Facade, Micros) -> T) -> T {
         let mut facade = self.facade.borrow_mut();
@@ -199,7 +216,7 @@
     pub fn learn(&self, list: &List) {
         self.take_addresses(list);
         let kind = if list.whole { ListKind::Full } else { ListKind::Delta };
-        self.list(kind, list.entries(&self.config.zones));
+        self.list(kind, list.entries(&self.config().zones));
     }
 
     /// Reports a list, or that a call for it failed.
@@ -296,7 +313,8 @@
         let ids = self.ids.borrow();
         Hello {
             version,
-            name: self.config.name.clone(),
+            name: self.config().name.clone(),
+            config: self.config().told.clone(),
             discovery: Some(self.discovery()),
             list: List {
                 seq: self.seq.get(),
@@ -364,12 +382,12 @@
     pub fn descriptor(&self, spare: usize) -> Option<Counted> {
         // Two processes of one node share its limit.
         let others = self.linked().map_or(0, |link| link.held.get());
-        (self.held() + others + spare < self.config.sockets).then(|| Counted::one_of(&self.descriptors))
+        (self.held() + others + spare < self.config().sockets).then(|| Counted::one_of(&self.descriptors))
     }
 
     /// Descriptors held by this process, or kept for it.
     pub fn held(&self) -> usize {
-        self.descriptors.get() + own_descriptors(&self.config)
+        self.descriptors.get() + own_descriptors(&self.config())
     }
 
     /// A request is taken from now on, until what is returned is dropped.
@@ -403,8 +421,9 @@
         if known && online == out {
             let stand = if online { Stand::Back(self.clock.now().0) } else { Stand::Out };
             self.stand(host, stand);
-            if let Some(dir) = &self.config.state_dir {
-                self.kept.borrow().save(dir, &self.config.name)?;
+            let config = self.config();
+            if let Some(dir) = &config.state_dir {
+                self.kept.borrow().save(dir, &config.name)?;
             }
             if let Some(link) = self.linked() {
                 link.tell_host(host, stand).await;
--- a/crates/alderstile-node/src/peers.rs
+++ b/crates/alderstile-node/src/peers.rs
@@ -66,10 +66,10 @@
 impl Peers {
     /// Listens where the configuration says; none where nodes may not talk.
     pub async fn bind(node: &Node) -> io::Result<Option<Rc<Self>>> {
-        let (Some(listen), Some(all)) = (node.config.peer_listen, node.config.peers_all) else {
+        let (Some(listen), Some(all)) = (node.config().peer_listen, node.config().peers_all) else {
             return Ok(None);
         };
-        if !node.config.settings.may_tell {
+        if !node.config().settings.may_tell {
             return Ok(None);
         }
         let socket = UdpSocket::bind(listen).await?;
@@ -93,7 +93,7 @@
         loop {
             match self.socket.recv_from(&mut data).await {
                 Ok((len, from)) => {
-                    let number = node.config.peers.iter().position(|peer| *peer == from);
+                    let number = node.config().peers.iter().position(|peer| *peer == from);
                     match number.and_then(|number| u32::try_from(number).ok()) {
                         Some(number) if len <= MAX_MESSAGE => {
                             node.decide(|facade, now| facade.report_peer(now, number, data[..len].to_vec()));
--- a/crates/alderstile-node/src/reload.rs
+++ b/crates/alderstile-node/src/reload.rs
@@ -1,6 +1,6 @@
 //! A new configuration while the node runs: at SIGHUP the file is read again.
 //!
-//! Where discovery is counts at once. All else that the file says is what the node was built round, and counts from
+//! It is taken whole or turned down whole. What the node is built round (its addresses, limits, zones and name) waits for
 //! the next start.
 
 use std::path::Path;
@@ -13,13 +13,22 @@
 /// Reads the file again. A faulty one changes nothing, and its fault is logged. What the environment says of
 /// discovery counted for the start: from here on the file's word stands, or a reload could never change it.
 pub fn reload(node: &Node, path: Option<&Path>, env: impl Fn(&str) -> Option<String>) {
-    let env = |name: &str| if name == "ROUTER_DISCOVERY" { None } else { env(name) };
-    match Config::load(path, env) {
-        Ok(config) if config.discovery == node.discovery() => info!("reload: discovery is where it was"),
-        Ok(config) => {
-            info!("reload: discovery is at {}", config.discovery);
-            node.move_discovery(config.discovery);
+    match Config::read(path, env).and_then(|file| node.config().renewed(file)) {
+        Ok((config, waiting)) => {
+            let classes = config.classes.len() - config.gone.len();
+            info!("reload: taken, {classes} classes, discovery at {}", config.discovery);
+            if !waiting.is_empty() {
+                info!("reload: waits for the next start: {}", waiting.join(", "));
+            }
+            if config.shadow.is_some() && node.config().shadow.is_none() {
+                info!("reload: waits for the next start: shadow");
+            }
+            node.renew(config);
+            node.count(|counters| counters.reconfig_ok += 1);
+        }
+        Err(error) => {
+            error!("reload: turned down: {error}; the configuration held goes on");
+            node.count(|counters| counters.reconfig_failed += 1);
         }
-        Err(error) => error!("reload: {error}; the configuration held goes on"),
     }
 }
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -202,7 +202,9 @@
 /// take: a host's refusal of it would be held against the host.
 fn admit<'a>(node: &Node, line: &'a [u8]) -> Result<(Open<'a>, u16, OpenId), Reason> {
     let Some(ClientLine::Open(open)) = client_line(line) else { return Err(Reason::ClientMalformed) };
-    let class = node.config.classes.iter().position(|class| class.as_bytes() == open.class);
+    let config = node.config();
+    let taken = |class: &String| class.as_bytes() == open.class && !config.gone.contains(class);
+    let class = config.classes.iter().position(taken);
     let class = class.and_then(|class| u16::try_from(class).ok()).ok_or(Reason::ClientUnknownClass)?;
     let Some(id) = node.open_id(open.id) else {
         node.count(|counters| counters.ended(class, Ended::Failure));
@@ -392,7 +394,7 @@
     }
 
     async fn attempt(&self, at: &HostAt, until: Instant) -> Tried {
-        let connect_until = until.min(Instant::now() + self.node.config.connect_timeout);
+        let connect_until = until.min(Instant::now() + self.node.config().connect_timeout);
         let Ok(Ok(stream)) = timeout_at(connect_until, TcpStream::connect(at.dial)).await else {
             return Tried::Failed(Outcome::ConnectFailed);
         };
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -22,7 +22,7 @@
 /// the other.
 pub async fn run(node: Rc<Node>, accepting: JoinHandle<()>) {
     info!("leaving: {} clients are told to move", node.served());
-    let may_take = node.config.stop_within;
+    let may_take = node.config().stop_within;
     let (now, last) = (Instant::now(), Instant::now() + may_take.saturating_sub(KEPT));
     if !node.shared() {
         node.leave();
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -14,6 +14,7 @@
 
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
@@ -22,7 +23,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::config::Config;
+use crate::config::Identity;
 use crate::discovery::{List, server_id};
 use crate::kept::Stand;
 use crate::node::Node;
@@ -43,6 +44,8 @@
     pub version: u32,
     /// The node's name.
     pub name: String,
+    /// The file in force, but for the list known.
+    pub config: Value,
     /// Where discovery is.
     pub discovery: Option<SocketAddr>,
     /// The server list, whole.
@@ -195,9 +198,8 @@
 }
 
 /// Looks for a process of this node that serves; none where there is none, or none that can be spoken with.
-pub async fn join(config: &Config) -> Result<Option<Predecessor>, AlreadyTaken> {
-    let Some(dir) = &config.state_dir else { return Ok(None) };
-    let path = socket_path(dir, &config.name);
+pub async fn join(who: &Identity) -> Result<Option<Predecessor>, AlreadyTaken> {
+    let path = socket_path(&who.dir, &who.name);
     let stream = match UnixStream::connect(&path).await {
         Ok(stream) => stream,
         Err(error) => {
@@ -216,7 +218,7 @@
     let error = match said.await {
         Ok(Word::Taken) => return Err(AlreadyTaken),
         Ok(Word::Hello(hello)) if hello.version != VERSION => LinkError::Version(hello.version),
-        Ok(Word::Hello(hello)) if hello.name == config.name => {
+        Ok(Word::Hello(hello)) if hello.name == who.name => {
             info!("takes over: {} hosts listed, {} named by hand", hello.list.hosts.len(), hello.hosts.len());
             return Ok(Some(Predecessor { hello: *hello, reader, writer }));
         }
@@ -244,8 +246,9 @@
 
 /// Lets successors find this process, one after the other.
 pub async fn offer(node: Rc<Node>) {
-    let Some(dir) = &node.config.state_dir else { return };
-    let path = socket_path(dir, &node.config.name);
+    let config = node.config();
+    let Some(dir) = &config.state_dir else { return };
+    let path = socket_path(dir, &config.name);
     // Only a process that has ended is followed here: its socket is of no use any more.
     if let Err(error) = std::fs::remove_file(&path)
         && error.kind() != io::ErrorKind::NotFound
--- a/crates/alderstile-node/tests/admin.rs
+++ b/crates/alderstile-node/tests/admin.rs
@@ -251,7 +251,7 @@
         let hosts = [Host::new("s-1").await, Host::new("s-2").await];
         let mut open = Vec::new();
         let mut node = operated(&[&hosts[0], &hosts[1]], |_| {}).await;
-        assert!(node.setup.node.config.state_dir.is_none(), "nothing is kept where no folder is named");
+        assert!(node.setup.node.config().state_dir.is_none(), "nothing is kept where no folder is named");
         for _ in 0..2 {
             assert_eq!(node.call("POST", "/control/hosts/s-1/offline").await.0, 200);
         }
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -4,8 +4,11 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use alderstile_node::config::Config;
 use alderstile_node::discovery::server_id;
 use alderstile_node::reload::reload;
+use alderstile_node::upgrade::Hello;
+use proptest::prelude::*;
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::Command;
@@ -136,3 +139,237 @@
         assert_eq!(node.try_wait().expect("asked"), None, "it lives on");
     });
 }
+
+/// What the figures say.
+fn figure(setup: &Setup, name: &str) -> Option<String> {
+    let (text, start) = (setup.node.figures(), format!("router.{name}:"));
+    text.lines().find_map(|line| line.strip_prefix(&start)).map(str::to_owned)
+}
+
+/// The file that a node was started by, to be changed.
+fn told(setup: &Setup) -> Value {
+    setup.node.config().told.clone()
+}
+
+async fn answer(setup: &Setup, id: u64, class: &str) -> Option<String> {
+    let mut client = setup.client().await;
+    client.send(&format!("OPEN {id:016x} {id:016x} c={class},d=20000\r\n")).await;
+    client.line().await
+}
+
+#[test]
+fn classes_come_and_go_and_connections_under_way_keep_theirs() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        let (mut client, mut server) = setup.up(1, &host).await;
+        let mut value = told(&setup);
+        let mut class = value["settings"]["classes"][1].take();
+        class["name"] = "video".into();
+        let presence = std::mem::replace(&mut value["settings"]["classes"], serde_json::json!([class]));
+        reload(&setup.node, Some(&file("classes", &value)), |_| None);
+        assert_eq!(figure(&setup, "reconfig_ok").as_deref(), Some("1|c"));
+        assert_eq!(setup.node.config().classes, ["chat", "presence", "video"], "numbers are kept");
+        assert_eq!(figure(&setup, "success.video").as_deref(), Some("0|c"));
+        assert_eq!(answer(&setup, 2, "chat").await.as_deref(), Some("ERR"), "it takes nothing new");
+        client.send("M 1\r\n").await;
+        assert_eq!(server.line().await.as_deref(), Some("M 1"), "and what is under way goes on");
+        let mut new = setup.client().await;
+        new.send("OPEN 3 3 c=video,d=20000\r\n").await;
+        let mut at = host.accept().await;
+        at.line().await.expect("the first line");
+        at.send("UP 00ff\r\n").await;
+        assert_eq!(new.line().await.as_deref(), Some("UP 00ff"));
+        assert_eq!(figure(&setup, "success.video").as_deref(), Some("1|c"));
+        // And back, under its old number.
+        value["settings"]["classes"] = presence;
+        value["settings"]["classes"][1] = serde_json::json!({"name": "presence", "aim": 1, "worth": 1.0,
+            "semantics": "fragile", "give_up": 9});
+        reload(&setup.node, Some(&file("classes", &value)), |_| None);
+        assert_eq!(setup.node.config().gone.iter().collect::<Vec<_>>(), ["video"]);
+        assert_eq!(setup.node.config().classes, ["chat", "presence", "video"]);
+    });
+}
+
+#[test]
+fn fewer_attempts_and_a_stricter_effect_count_for_the_next_attempt() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let other = Host::new("s-2").await;
+        let (setup, _watch) = serving(&[&host, &other]).await;
+        // A request is out when the word comes that it may not be repeated: it broke, and may have run.
+        let mut client = setup.open(1, "d=20000").await;
+        let mut first = tokio::select! { peer = host.accept() => peer, peer = other.accept() => peer };
+        first.line().await.expect("the first line");
+        let mut value = told(&setup);
+        value["settings"]["classes"][0]["semantics"] = "fragile".into();
+        reload(&setup.node, Some(&file("stricter", &value)), |_| None);
+        drop(first);
+        assert_eq!(client.line().await.as_deref(), Some("FAILED"));
+        value["settings"]["allowed"]["max_attempts"] = 1.into();
+        value["settings"]["classes"][0]["semantics"] = "retryable".into();
+        reload(&setup.node, Some(&file("stricter", &value)), |_| None);
+        let mut client = setup.open(2, "d=20000").await;
+        let mut only = tokio::select! { peer = host.accept() => peer, peer = other.accept() => peer };
+        only.line().await.expect("the first line");
+        only.send("BUSY\r\n").await;
+        assert!(
+            client.line().await.is_some_and(|line| line.starts_with("BUSY ")),
+            "one attempt, and when to return"
+        );
+        assert_eq!(figure(&setup, "backend_calls").as_deref(), Some("2|c"));
+    });
+}
+
+/// The paths of all values of an object, those of the classes' keys too.
+fn paths(value: &Value, path: &str, all: &mut Vec<String>) {
+    let fields: Vec<(String, &Value)> = match value {
+        Value::Object(fields) => fields.iter().map(|(key, value)| (key.clone(), value)).collect(),
+        Value::Array(items) if items.iter().all(Value::is_object) => {
+            items.iter().enumerate().map(|(i, value)| (i.to_string(), value)).collect()
+        }
+        _ => Vec::new(),
+    };
+    for (key, value) in fields {
+        let path = format!("{path}/{key}");
+        paths(value, &path, all);
+        all.push(path);
+    }
+}
+
+#[test]
+fn a_file_that_lacks_a_key_or_holds_a_bad_count_is_turned_down_whole() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, mut watch) = serving(&[&host]).await;
+        let before = setup.node.discovery();
+        let good = told(&setup);
+        let mut bad: Vec<(String, String)> = Vec::new();
+        let mut all = Vec::new();
+        paths(&good, "", &mut all);
+        for path in all {
+            // A class may vanish.
+            if ["/settings/classes/0", "/settings/classes/1"].contains(&path.as_str()) {
+                continue;
+            }
+            let mut value = good.clone();
+            let (at, key) = path.rsplit_once('/').expect("a path");
+            let fields = value.pointer_mut(at).and_then(Value::as_object_mut).expect("an object");
+            fields.remove(key).expect("a value");
+            bad.push((format!("without {path}"), value.to_string()));
+            value = good.clone();
+            *value.pointer_mut(&path).expect("a value") = Value::Null;
+            bad.push((format!("null at {path}"), value.to_string()));
+        }
+        let counts = [
+            "/settings/allowed/max_attempts",
+            "/settings/allowed/connect_timeout",
+            "/settings/classes/0/give_up",
+            "/settings/classes/1/aim",
+        ];
+        for path in counts {
+            for count in
+                ["0", "-1", "1.5", "\"3\"", "\"soon\"", "null", "1e400", "18446744073709551616", "[]", "true"]
+            {
+                let mut value = good.clone();
+                *value.pointer_mut(path).expect("a value") = "HERE".into();
+                bad.push((format!("{count} at {path}"), value.to_string().replace("\"HERE\"", count)));
+            }
+        }
+        let whole = good.to_string();
+        for cut in (0..whole.len()).step_by(7) {
+            bad.push((format!("cut at {cut}"), whole[..cut].to_owned()));
+        }
+        for text in ["", "\n", "null", "[]", "3", "{}", "NaN", "\u{fffd}"] {
+            bad.push((format!("{text:?}"), text.to_owned()));
+        }
+        let path = file("bad", &Value::Null);
+        for (number, (what, text)) in bad.iter().enumerate() {
+            // What else is new in it must not count either.
+            std::fs::write(&path, text.replace(&before.to_string(), "127.0.0.1:1")).expect("written");
+            reload(&setup.node, Some(&path), |_| None);
+            assert_eq!(setup.node.discovery(), before, "{what}");
+            let failed = format!("{}|c", number + 1);
+            assert_eq!(figure(&setup, "reconfig_failed"), Some(failed), "{what}");
+        }
+        std::fs::write(&path, b"\xff\xfe").expect("written");
+        reload(&setup.node, Some(&path), |_| None);
+        assert_eq!(figure(&setup, "reconfig_ok").as_deref(), Some("0|c"));
+        assert_eq!(told(&setup), good);
+        chunk(&mut watch, &list(2, false, &[])).await;
+        setup.up(1, &host).await;
+    });
+}
+
+#[test]
+fn what_waits_for_the_next_start_is_named() {
+    let value = config("127.0.0.1:9000", "127.0.0.1:8500");
+    let config = Config::of_file(value.clone(), |_| None).expect("fine");
+    let mut new = value;
+    new["limits"]["sockets"] = 300.into();
+    new["listen"] = "127.0.0.1:9009".into();
+    new["settings"]["my_zone"] = 1.into();
+    new["settings"]["balancers"] = 7.into();
+    let (config, waiting) = config.renewed(new).expect("fine");
+    assert_eq!(waiting, ["listen", "limits", "settings.my_zone"]);
+    assert_eq!((config.sockets, config.settings.zone, config.settings.balancers), (200, 0, 7));
+    assert_eq!(config.listen.port(), 9000);
+}
+
+#[test]
+fn a_process_that_takes_over_goes_by_the_file_in_force_where_its_own_was_turned_down() {
+    let value = config("127.0.0.1:9000", "127.0.0.1:8500");
+    let hello = Hello {
+        config: value.clone(),
+        discovery: Some("127.0.0.1:8507".parse().expect("an address")),
+        ..Hello::default()
+    };
+    // The environment's word is of the start before.
+    let env = |name: &str| (name == "ROUTER_DISCOVERY").then(|| "127.0.0.1:8500".to_owned());
+    let take = |name: &str, value: &Value| {
+        Config::taking_over(&hello, Some(&file(name, value)), env).expect("a configuration")
+    };
+    let same = take("same", &value);
+    assert_eq!(same.discovery.port(), 8507, "the one that serves knows better");
+    let mut new = value.clone();
+    new["settings"]["allowed"]["max_attempts"] = 2.into();
+    assert_eq!(take("new", &new).settings.max_attempts, 2);
+    new["discovery"] = "127.0.0.1:8509".into();
+    assert_eq!(take("elsewhere", &new).discovery.port(), 8509);
+    // A start would take the default for the lost key, and the other figure with it.
+    new["settings"]["obligations"].as_object_mut().expect("an object").remove("must_ask_in");
+    let kept = take("lacking", &new);
+    assert_eq!((kept.settings.max_attempts, kept.discovery.port()), (3, 8507));
+    assert_eq!(take("broken", &Value::Null).settings.max_attempts, 3);
+}
+
+proptest! {
+    /// However classes come and go, each keeps its number, and exactly those named last take requests.
+    #[test]
+    fn classes_keep_their_numbers(files in prop::collection::vec(prop::collection::btree_set(0..6_u8, 1..5), 1..8)) {
+        let of = |classes: &std::collections::BTreeSet<u8>| {
+            let mut value = config("127.0.0.1:9000", "127.0.0.1:8500");
+            let class = value["settings"]["classes"][0].clone();
+            value["settings"]["extra"]["message_aim"] = serde_json::json!(vec![1e5; classes.len()]);
+            value["settings"]["classes"] = classes.iter().rev().map(|number| {
+                let mut class = class.clone();
+                class["name"] = format!("c{number}").into();
+                class["aim"] = (1_000 + u64::from(*number)).into();
+                class
+            }).collect();
+            value
+        };
+        let mut config = Config::of_file(of(&files[0]), |_| None).expect("fine");
+        for classes in &files {
+            let (next, _) = config.renewed(of(classes)).expect("fine");
+            prop_assert_eq!(&next.classes[..config.classes.len()], &config.classes[..]);
+            prop_assert_eq!(next.settings.classes.len(), next.classes.len());
+            for (name, class) in next.classes.iter().zip(&next.settings.classes) {
+                let number: u8 = name[1..].parse().expect("a number");
+                prop_assert_eq!(class.aim.0, 1_000 + u64::from(number));
+                prop_assert_eq!(next.gone.contains(name), !classes.contains(&number));
+            }
+            config = next;
+        }
+    }
+}
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use alderstile_node::config::Config;
+use alderstile_node::config::Identity;
 use alderstile_node::upgrade;
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
@@ -261,19 +261,11 @@
     });
 }
 
-fn config_in(dir: PathBuf) -> Config {
-    let mut value = config("127.0.0.1:0", "127.0.0.1:1");
-    value["admin_addr"] = "127.0.0.1:0".into();
-    let mut config = Config::parse(value).expect("fine");
-    config.state_dir = Some(dir);
-    config
-}
-
 #[test]
 fn what_is_no_predecessor_is_passed_by() {
     run(async {
         let dir = dir("none");
-        let config = config_in(dir.clone());
+        let config = Identity { name: "n1".to_owned(), dir: dir.clone() };
         assert!(upgrade::join(&config).await.expect("alone").is_none(), "nobody there");
         let name = format!("alderstile-{:016x}.sock", alderstile_node::discovery::server_id("n1").0);
         let path = dir.join(name);
@@ -285,7 +277,7 @@
             b"no line of the protocol's\n",
             b"\xff\xfe\n",
             b"{\"done\":{\"number\":1}}\n",
-            b"{\"hello\":{\"version\":9,\"name\":\"n1\",\"discovery\":null,\"list\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\
+            b"{\"hello\":{\"version\":9,\"name\":\"n1\",\"config\":null,\"discovery\":null,\"list\":{\"seq\":1,\"whole\":true,\"hosts\":[]},\
               \"hosts\":{},\"ids\":[],\"held\":3}}\n",
         ];
         for said in said {
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -97,6 +97,21 @@
         Facade { shadow, ..Self::new(settings, seed, now) }
     }
 
+    /// Other settings from now on, and others for the instance that watches; without any it watches no more. One that
+    /// did not watch so far has no record to begin with, and none is begun.
+    pub fn renew(&mut self, now: Micros, settings: Settings, shadow: Option<Settings>) {
+        let settings = on_sockets(settings);
+        if settings.tells_delay != self.notes.is_some() {
+            self.notes = settings.tells_delay.then(Notes::default);
+        }
+        self.policy.handle(now, Event::Settings(Box::new(settings)), &mut self.actions);
+        self.settle(now);
+        self.shadow = self.shadow.take().zip(shadow).map(|(mut watching, settings)| {
+            watching.renew(now, on_sockets(settings));
+            watching
+        });
+    }
+
     /// What the watching instance would have done otherwise so far; none where there is no such instance.
     pub fn differences(&self) -> Option<Differences> {
         self.shadow.as_ref().map(Shadow::differences)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -311,6 +311,8 @@
     },
     /// A message of another node.
     Peer(u32, Vec<u8>),
+    /// Other settings from now on. A class keeps its number; there are as many as before at least.
+    Settings(Box<Settings>),
 }
 
 /// What is to be done.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,6 +92,12 @@
     (0.0..=LOAD_LIMIT).contains(load)
 }
 
+/// From which delay on a server's messages are late.
+fn late_at(settings: &Settings) -> Micros {
+    let shortest = settings.classes.iter().map(|c| c.message_aim.unwrap_or(c.aim)).min();
+    shortest.unwrap_or(Micros(0)).scale(LATE_SHARE)
+}
+
 /// Chance that falls alike at every node for a group: where many servers tie in the own record, nodes that
 /// know nothing of one another still begin it on the same server.
 fn shared_chance(group: GroupId, server: ServerId) -> u64 {
@@ -242,9 +248,8 @@
     /// A node that has just started and holds nothing.
     pub fn new(settings: Settings, seed: u64, _now: Micros) -> Self {
         let classes = settings.classes.len();
-        let shortest = settings.classes.iter().map(|c| c.message_aim.unwrap_or(c.aim)).min();
         Policy {
-            late_at: shortest.unwrap_or(Micros(0)).scale(LATE_SHARE),
+            late_at: late_at(&settings),
             set: settings,
             stood: 0.0,
             ended: 0,
@@ -302,6 +307,13 @@
             Event::Timer(TimerToken(id)) => self.looked(now, RequestId(id & !TOKEN_LOOK), LOOKS, out),
             Event::Probed { server, report, .. } => self.probed(now, server, &report, out),
             Event::Peer(_, data) => self.heard(now, &data),
+            Event::Settings(settings) => {
+                // The record stays; what was decided before stands, and the next attempt goes by the new word.
+                self.late_at = late_at(&settings);
+                self.class_load.resize(settings.classes.len(), Mean::default());
+                self.held_load.resize(settings.classes.len(), (0.0, 0));
+                self.set = *settings;
+            }
         }
     }
 
--- a/src/shadow.rs
+++ b/src/shadow.rs
@@ -83,6 +83,11 @@
         self.differences
     }
 
+    /// Other settings for this instance from now on.
+    pub fn renew(&mut self, now: Micros, settings: Settings) {
+        self.policy.handle(now, Event::Settings(Box::new(settings)), &mut self.actions);
+    }
+
     /// Before the deciding instance takes in an event: chance is to fall alike.
     pub fn align(&mut self, deciding: &Policy) {
         self.policy.share_chance(deciding);
