--- a/crates/alderstile-node/src/buffer.rs
+++ b/crates/alderstile-node/src/buffer.rs
@@ -88,6 +88,28 @@
         }
     }
 
+    /// All bytes held, whole lines or not.
+    pub fn bytes(&self) -> &[u8] {
+        &self.data[self.start..self.end]
+    }
+
+    /// A buffer that holds these bytes; none where they are more than one may hold.
+    pub fn holding(bytes: &[u8]) -> Option<Self> {
+        let mut buffer = LineBuffer::default();
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let room = buffer.room().ok()?;
+            let count = room.len().min(rest.len());
+            room[..count].copy_from_slice(&rest[..count]);
+            rest = &rest[count..];
+            if count == 0 {
+                return None;
+            }
+            buffer.filled(count);
+        }
+        Some(buffer)
+    }
+
     /// Bytes held, whole lines or not.
     pub fn held(&self) -> usize {
         self.end - self.start
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod listener;
 pub mod lobby;
 pub mod node;
+pub mod pass;
 pub mod peers;
 pub mod protocol;
 pub mod reason;
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -8,9 +8,9 @@
 use alderstile_node::config::Config;
 use alderstile_node::node::Node;
 use alderstile_node::peers::{Peers, Way};
-use alderstile_node::{admin, discovery, listener, reload, shutdown, upgrade};
+use alderstile_node::{admin, discovery, listener, pass, reload, shutdown, upgrade};
 use lexopt::{Arg, Parser, ValueExt};
-use log::{error, info};
+use log::{error, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -117,6 +117,12 @@
         Ok(listener) => listener,
         Err(error) => return error!("{error}"),
     };
+    match pass::receiver(&node.config()) {
+        Ok(from) => from.into_iter().for_each(|from| {
+            spawn_local(pass::receive(node.clone(), from));
+        }),
+        Err(error) => warn!("connections can't be passed on to this process: {error}"),
+    }
     // Before anyone hears that this process is ready: the other one may be told to go for it.
     if let Some(link) = node.linked() {
         link.tell_ready().await;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -10,6 +10,7 @@
 use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
 use alderstile::shadow::Differences;
 use log::info;
+use tokio::net::UnixDatagram;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -46,19 +47,19 @@
 pub struct Mover {
     /// Wakes the relay.
     pub notify: Notify,
-    /// The node is leaving; otherwise the decisions want it.
-    pub leaving: Cell<bool>,
+    /// Why, if not that the decisions want it.
+    why: Cell<Option<Reason>>,
 }
 
 impl Mover {
-    fn leave(&self) {
-        self.leaving.set(true);
+    fn leave(&self, why: Reason) {
+        self.why.set(Some(why));
         self.notify.notify_one();
     }
 
     /// Why the client is to move.
     pub fn reason(&self) -> Reason {
-        if self.leaving.get() { Reason::NodeLeaving } else { Reason::Moved }
+        self.why.get().unwrap_or(Reason::Moved)
     }
 }
 
@@ -90,7 +91,8 @@
     wake: Notify,
     ready: Cell<bool>,
     leaving: Cell<bool>,
-    all_moved: Cell<bool>,
+    all_moved: Cell<Option<Reason>>,
+    passing: RefCell<Option<Rc<UnixDatagram>>>,
     descriptors: Rc<Cell<usize>>,
     inflight: Rc<Cell<usize>>,
     counters: RefCell<Counters>,
@@ -164,7 +166,8 @@
             wake: Notify::new(),
             ready: Cell::new(false),
             leaving: Cell::new(false),
-            all_moved: Cell::new(false),
+            all_moved: Cell::default(),
+            passing: RefCell::default(),
             descriptors: Rc::default(),
             inflight: Rc::default(),
             counters: RefCell::new(counters),
@@ -278,6 +281,20 @@
         new.then(|| OpenId(self.ids.clone(), id))
     }
 
+    /// The id of a request that was taken by the process before.
+    pub fn passed_id(&self, id: &[u8]) -> OpenId {
+        let id: Rc<[u8]> = id.into();
+        self.ids.borrow_mut().taken.insert(id.clone());
+        OpenId(self.ids.clone(), id)
+    }
+
+    /// The number of a class that takes requests.
+    pub fn class(&self, name: &[u8]) -> Option<u16> {
+        let config = self.config();
+        let taken = |class: &String| class.as_bytes() == name && !config.gone.contains(class);
+        config.classes.iter().position(taken).and_then(|class| u16::try_from(class).ok())
+    }
+
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
         self.can_serve() && self.listening.get() && !self.leaving.get()
@@ -348,22 +365,40 @@
 
     /// The node is about to stop: tells this many clients to move that have not been told.
     pub fn move_some(&self, count: usize) {
+        self.leave_some(count, Reason::NodeLeaving);
+    }
+
+    fn leave_some(&self, count: usize, why: Reason) {
         let movers = self.movers.borrow();
-        movers.values().filter(|mover| !mover.leaving.get()).take(count).for_each(|mover| mover.leave());
+        movers
+            .values()
+            .filter(|mover| mover.why.get().is_none())
+            .take(count)
+            .for_each(|mover| mover.leave(why));
     }
 
     /// Tells all clients that are served to move, and from now on everyone who comes up.
     pub fn move_all(&self) {
-        self.all_moved.set(true);
+        self.all_moved.set(Some(Reason::NodeLeaving));
         self.move_some(usize::MAX);
     }
 
+    /// Passes all connections on, and from now on each that comes up.
+    pub fn pass_all(&self, to: UnixDatagram) {
+        self.passing.replace(Some(Rc::new(to)));
+        self.all_moved.set(Some(Reason::HandedOver));
+        self.leave_some(usize::MAX, Reason::HandedOver);
+    }
+
+    /// The way to the process that goes on with connections.
+    pub fn passing(&self) -> Option<Rc<UnixDatagram>> {
+        self.passing.borrow().clone()
+    }
+
     /// A client is served from now on and can be moved.
     pub fn serve(&self, id: RequestId) -> Rc<Mover> {
         let mover = Rc::new(Mover::default());
-        if self.all_moved.get() {
-            mover.leave();
-        }
+        self.all_moved.get().into_iter().for_each(|why| mover.leave(why));
         self.movers.borrow_mut().insert(id, mover.clone());
         mover
     }
@@ -378,6 +413,11 @@
         self.movers.borrow().len()
     }
 
+    /// One more descriptor that is there already, passed on by the process before.
+    pub fn passed_descriptor(&self) -> Counted {
+        Counted::one_of(&self.descriptors)
+    }
+
     /// One more descriptor, unless fewer than `spare` more are left.
     pub fn descriptor(&self, spare: usize) -> Option<Counted> {
         // Two processes of one node share its limit.
--- /dev/null
+++ b/crates/alderstile-node/src/pass.rs
@@ -0,0 +1,135 @@
+//! Passing connections on to the process that takes over: both sockets of each, and all that is known of it, as one
+//! datagram on a private socket. Clients and hosts notice nothing.
+
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::TcpStream;
+use std::os::fd::AsFd;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{info, warn};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use serde::{Deserialize, Serialize};
+use tokio::io::Interest;
+use tokio::net::UnixDatagram;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::config::Config;
+use crate::discovery::server_id;
+use crate::node::Node;
+use crate::relay::Carried;
+use crate::session;
+
+/// The longest datagram: two buffers and a line, each of 4 KiB at most, with every byte written as a number.
+const MAX_DATAGRAM: usize = 64 << 10;
+/// How long the other process may take to read: its clients wait as long.
+const READ: Duration = Duration::from_millis(300);
+/// Receiving pauses this long after an error.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// A connection that is passed on.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Passed {
+    /// The client's first line, without its end.
+    pub line: String,
+    /// The host's name.
+    pub host: String,
+    /// Bytes of the client that have not gone on.
+    pub from_client: Vec<u8>,
+    /// Bytes of the host that have not gone on.
+    pub from_host: Vec<u8>,
+    /// What was seen of the lines that passed.
+    pub carried: Carried,
+    /// Attempts that it took.
+    pub attempts: u32,
+    /// Milliseconds that the attempt took that came up.
+    pub up_ms: u64,
+    /// Milliseconds since the request came.
+    pub age_ms: u64,
+}
+
+fn path(dir: &Path, name: &str) -> PathBuf {
+    dir.join(format!("alderstile-{:016x}.pass", server_id(name).0))
+}
+
+/// Where connections are to be had from the process before; before this process says that it serves.
+pub fn receiver(config: &Config) -> io::Result<Option<UnixDatagram>> {
+    let Some(dir) = &config.state_dir else { return Ok(None) };
+    let path = path(dir, &config.name);
+    match std::fs::remove_file(&path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => UnixDatagram::bind(&path).map(Some),
+    }
+}
+
+/// The way to the process that takes over.
+pub fn sender(config: &Config) -> io::Result<UnixDatagram> {
+    let dir = config.state_dir.as_deref().ok_or(io::ErrorKind::NotFound)?;
+    let socket = UnixDatagram::unbound()?;
+    socket.connect(path(dir, &config.name))?;
+    Ok(socket)
+}
+
+/// Passes a connection on; the other process has it once this returns.
+pub async fn send(to: &UnixDatagram, passed: &Passed, sockets: [&impl AsFd; 2]) -> io::Result<()> {
+    let data = serde_json::to_vec(passed)?;
+    let fds = sockets.map(AsFd::as_fd);
+    let sent = to.async_io(Interest::WRITABLE, || {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        Ok(sendmsg(to, &[IoSlice::new(&data)], &mut control, SendFlags::NOSIGNAL)?)
+    });
+    timeout(READ, sent).await.map_err(|_| io::ErrorKind::TimedOut)??;
+    Ok(())
+}
+
+/// Takes connections in until it is dropped.
+pub async fn receive(node: Rc<Node>, from: UnixDatagram) {
+    let mut data = vec![0; MAX_DATAGRAM];
+    let mut taken: u64 = 0;
+    loop {
+        let received = from.async_io(Interest::READABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let read =
+                recvmsg(&from, &mut [IoSliceMut::new(&mut data)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+            let mut sockets = Vec::new();
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(fds) = message {
+                    sockets.extend(fds.map(TcpStream::from));
+                }
+            }
+            Ok((read.bytes, sockets))
+        });
+        match received.await {
+            Ok((length, sockets)) => {
+                match serde_json::from_slice(&data[..length]).map(|passed| (passed, sockets)) {
+                    Ok((passed, sockets)) => match <[TcpStream; 2]>::try_from(sockets) {
+                        Ok(sockets) => {
+                            taken += 1;
+                            if taken == 1 {
+                                info!("connections are passed on to this process");
+                            }
+                            spawn_local(session::resume(node.clone(), passed, sockets));
+                        }
+                        Err(sockets) => warn!("a connection passed on with {} sockets", sockets.len()),
+                    },
+                    Err(error) => warn!("a connection passed on: {error}"),
+                }
+            }
+            Err(error) => {
+                warn!("connections passed on: {error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/alderstile-node/src/reason.rs
+++ b/crates/alderstile-node/src/reason.rs
@@ -67,6 +67,8 @@
     Failed = "failed",
     /// The front's question was answered.
     Pinged = "pinged",
+    /// Passed on to the process that takes over; goes on there.
+    HandedOver = "handed-over",
     /// The node is leaving; the client was told to move.
     NodeLeaving = "node-leaving",
 }
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -4,6 +4,7 @@
 
 use alderstile::interface::{RequestId, ServerId};
 use log::debug;
+use serde::{Deserialize, Serialize};
 use tokio::io::Interest;
 use tokio::time::Instant;
 
@@ -22,12 +23,25 @@
 const STUCK: Duration = Duration::from_secs(10);
 
 /// How both sides are ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ending {
     /// In an orderly way, after this last line to the client.
     Both(&'static [u8]),
     /// As a broken connection ends.
     Reset,
+    /// Not at all: another process goes on with both.
+    Pass(Carried),
+}
+
+/// What was seen of the lines that passed, for the process that goes on with them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Carried {
+    /// For how many milliseconds a line of the client has brought nothing back.
+    silent_ms: Option<u64>,
+    /// The host's last word, if it was one of parting: whether that was `BYE` or `MOVE`.
+    bye: Option<bool>,
+    /// The figure told last.
+    pub load: Option<f64>,
 }
 
 /// What is watched of the lines that pass.
@@ -39,9 +53,20 @@
     silent_since: Option<Instant>,
     /// The host's last word, if it was one of parting.
     parting: Option<HostLine>,
+    /// The figure told last.
+    load: Option<f64>,
 }
 
 impl Watch<'_> {
+    fn carried(&self) -> Carried {
+        let millis = |since: Instant| u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Carried {
+            silent_ms: self.silent_since.map(millis),
+            bye: self.parting.map(|word| word == HostLine::Bye),
+            load: self.load,
+        }
+    }
+
     fn client_lines(&mut self, lines: &[u8]) {
         if !lines.is_empty() {
             self.silent_since.get_or_insert_with(Instant::now);
@@ -54,6 +79,7 @@
             self.parting = None;
             match host_line(line) {
                 HostLine::Load(load) => {
+                    self.load = Some(load);
                     debug!("load number={} load={load}", self.id.0);
                     self.node.decide(|facade, now| facade.report_load(now, self.id, self.server, load))
                 }
@@ -90,7 +116,7 @@
 }
 
 /// Sends the client away, between two lines: `MOVE` must not stand inside one that it has not taken whole.
-async fn send_away(host: &mut Side, client: &Side, reason: Reason) -> (Reason, Ending) {
+pub async fn send_away(host: &mut Side, client: &Side, reason: Reason) -> (Reason, Ending) {
     if push_last(host, client).await {
         (reason, Ending::Both(b"MOVE\r\n"))
     } else {
@@ -122,10 +148,23 @@
     host: &mut Side,
     (id, server): (RequestId, ServerId),
     mover: &Mover,
+    carried: Option<Carried>,
 ) -> (Reason, Ending) {
-    let mut watch = Watch { node, id, server, silent_since: None, parting: None };
-    watch.host_lines(host.buffer.whole());
-    watch.client_lines(client.buffer.whole());
+    let mut watch = Watch { node, id, server, silent_since: None, parting: None, load: None };
+    match carried {
+        None => {
+            watch.host_lines(host.buffer.whole());
+            watch.client_lines(client.buffer.whole());
+        }
+        // The lines in the buffers were seen by the process before.
+        Some(Carried { silent_ms, bye, load }) => {
+            let now = Instant::now();
+            let since = |ms| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+            watch.silent_since = silent_ms.map(since);
+            watch.parting = bye.map(|bye| if bye { HostLine::Bye } else { HostLine::Move });
+            watch.load = load;
+        }
+    }
     let mut stuck_since: Option<Instant> = None;
     loop {
         let held = host.buffer.held();
@@ -172,6 +211,9 @@
             () = ready(client, client_interest) => {}
             () = ready(host, host_interest) => {}
             () = mover.notify.notified() => {
+                if mover.reason() == Reason::HandedOver {
+                    return (Reason::HandedOver, Ending::Pass(watch.carried()));
+                }
                 return send_away(host, client, mover.reason()).await;
             }
             () = sleep_until(wake) => {
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -6,7 +6,7 @@
 
 use alderstile::facade::{Answer, Ask};
 use alderstile::interface::{GroupId, Micros, Outcome, RequestId, ServerId};
-use log::{debug, info};
+use log::{debug, info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
@@ -16,9 +16,10 @@
 use crate::discovery::server_id;
 use crate::lobby::Guest;
 use crate::node::{Counted, HostAt, Node, OpenId};
+use crate::pass::{self, Passed};
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
-use crate::relay::{self, Ending};
+use crate::relay::{self, Carried, Ending};
 
 /// A client that has sent no whole first line after this long is none: it is owed a word or a close within 3 s.
 const FIRST_LINE: Duration = Duration::from_secs(2);
@@ -202,10 +203,7 @@
 /// take: a host's refusal of it would be held against the host.
 fn admit<'a>(node: &Node, line: &'a [u8]) -> Result<(Open<'a>, u16, OpenId), Reason> {
     let Some(ClientLine::Open(open)) = client_line(line) else { return Err(Reason::ClientMalformed) };
-    let config = node.config();
-    let taken = |class: &String| class.as_bytes() == open.class && !config.gone.contains(class);
-    let class = config.classes.iter().position(taken);
-    let class = class.and_then(|class| u16::try_from(class).ok()).ok_or(Reason::ClientUnknownClass)?;
+    let class = node.class(open.class).ok_or(Reason::ClientUnknownClass)?;
     let Some(id) = node.open_id(open.id) else {
         node.count(|counters| counters.ended(class, Ended::Failure));
         return Err(Reason::ClientDuplicateId);
@@ -262,7 +260,7 @@
         match placed {
             Placed::Up(up) => {
                 self.count(Ended::Success);
-                self.serve(client, up, taken).await;
+                self.serve(client, up, taken, None).await;
             }
             Placed::Answered(reason, line) => {
                 self.log(reason, "-");
@@ -420,19 +418,26 @@
     }
 
     /// Passes `UP` and everything after it on, until one side ends.
-    async fn serve(&self, mut client: Side, up: Up, taken: Counted) {
+    async fn serve(&self, mut client: Side, up: Up, taken: Counted, carried: Option<Carried>) {
         let Up { id, server, name, mut host, _descriptor } = up;
         let shown = String::from_utf8_lossy(self.open.id);
         debug!("up id={shown} number={} host={name} attempts={} up_ms={}", id.0, self.attempts, self.up_ms);
         let mover = self.node.serve(id);
-        let (reason, ending) = relay::run(&self.node, &mut client, &mut host, (id, server), &mover).await;
+        let (mut reason, mut ending) =
+            relay::run(&self.node, &mut client, &mut host, (id, server), &mover, carried).await;
+        if let Ending::Pass(carried) = ending
+            && let Err(error) = self.pass(&client, &host, &name, carried).await
+        {
+            debug!("not passed on: id={shown}: {error}");
+            (reason, ending) = relay::send_away(&mut host, &client, Reason::NodeLeaving).await;
+        }
         self.node.unserve(id);
         self.node.decide(|facade, now| match reason {
             Reason::ClientLeft | Reason::ClientReset | Reason::ClientOverlong | Reason::ClientStuck => {
                 facade.report_left(now, id)
             }
             Reason::Served => facade.report_ended(now, id, server, Outcome::Ok),
-            Reason::Moved | Reason::NodeLeaving | Reason::HostMoved => {
+            Reason::Moved | Reason::NodeLeaving | Reason::HandedOver | Reason::HostMoved => {
                 facade.report_ended(now, id, server, Outcome::Cancelled)
             }
             _ => facade.report_ended(now, id, server, Outcome::Reset),
@@ -448,8 +453,63 @@
                 host.reset();
                 client.reset();
             }
+            // The other process holds both: ending these here ends nothing.
+            Ending::Pass(_) => {}
         }
     }
+
+    /// Passes the connection on to the process that takes over.
+    async fn pass(&self, client: &Side, host: &Side, name: &str, carried: Carried) -> io::Result<()> {
+        let to = self.node.passing().ok_or(io::ErrorKind::NotConnected)?;
+        let millis = |ms: u128| u64::try_from(ms).unwrap_or(u64::MAX);
+        let passed = Passed {
+            line: String::from_utf8_lossy(self.line).into_owned(),
+            host: name.to_owned(),
+            from_client: client.buffer.bytes().to_vec(),
+            from_host: host.buffer.bytes().to_vec(),
+            carried,
+            attempts: self.attempts,
+            up_ms: millis(self.up_ms),
+            age_ms: millis(self.arrived.elapsed().as_millis()),
+        };
+        pass::send(&to, &passed, [&client.stream, &host.stream]).await
+    }
+}
+
+/// Goes on with a connection that the process before has passed on.
+pub async fn resume(node: Rc<Node>, passed: Passed, sockets: [std::net::TcpStream; 2]) {
+    let line = passed.line.as_bytes();
+    let Some(ClientLine::Open(open)) = client_line(line) else {
+        return warn!("a connection passed on with a line that is none");
+    };
+    let [client, host] = sockets.map(TcpStream::from_std);
+    let (client, host) = match (client, host) {
+        (Ok(client), Ok(host)) => (client, host),
+        (Err(error), _) | (_, Err(error)) => return warn!("a connection passed on: {error}"),
+    };
+    let buffers = (LineBuffer::holding(&passed.from_client), LineBuffer::holding(&passed.from_host));
+    let (Some(from_client), Some(from_host)) = buffers else {
+        return warn!("a connection passed on with more than its buffers hold");
+    };
+    let _descriptor = node.passed_descriptor();
+    let _id = node.passed_id(open.id);
+    // Its class may have gone: it keeps a number that no class has.
+    let class = node.class(open.class).unwrap_or(u16::MAX);
+    let now = Instant::now();
+    let arrived = now.checked_sub(Duration::from_millis(passed.age_ms)).unwrap_or(now);
+    let (attempts, up_ms) = (passed.attempts, u128::from(passed.up_ms));
+    let session = Session { node: node.clone(), line, open, class, arrived, attempts, up_ms };
+    let (ask, server) = (session.ask(Duration::ZERO), server_id(&passed.host));
+    let id = node.decide(|facade, now| {
+        let id = facade.adopt(now, ask, server);
+        passed.carried.load.iter().for_each(|load| facade.report_load(now, id, server, *load));
+        id
+    });
+    let host = Side { buffer: from_host, ..Side::new(host) };
+    let client = Side { buffer: from_client, ..Side::new(client) };
+    let up =
+        Up { id, server, name: passed.host.as_str().into(), host, _descriptor: node.passed_descriptor() };
+    session.serve(client, up, node.take(), Some(passed.carried)).await;
 }
 
 /// What came of one attempt.
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::node::Node;
+use crate::pass;
 
 /// What is kept of the time that a stop may take: the last clients' lines and ends must pass before it is over.
 const KEPT: Duration = Duration::from_millis(600);
@@ -39,6 +40,10 @@
         node.leave();
         node.left.notify_one();
         node.linked().iter().for_each(|link| link.tell_closed());
+        match pass::sender(&node.config()) {
+            Ok(to) => node.pass_all(to),
+            Err(error) => warn!("leaving: connections can't be passed on: {error}"),
+        }
     }
     while node.served() > 0 && Instant::now() < last {
         let steps = (last - Instant::now()).as_millis() / LOOK.as_millis() + 1;
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -207,7 +207,7 @@
         sleep(Duration::from_millis(1_000)).await;
         let seen = seen.take();
         assert_eq!(seen.other, Vec::<String>::new(), "each client was brought up");
-        assert!(seen.moved > 0, "those at the old process were told to move");
+        assert_eq!(seen.moved, 0, "connections were passed on");
         assert_eq!(served[0].borrow().len(), banned, "the host that is out got nothing from either");
         let all: BTreeMap<_, _> = served.iter().flat_map(|seen| seen.borrow().clone()).collect();
         assert!(all.values().all(|times| *times == 1), "none was served twice");
@@ -220,6 +220,77 @@
     });
 }
 
+#[test]
+fn connections_are_passed_on_with_what_is_under_way() {
+    run(async {
+        let (dir, discovery) = (dir("pass"), Discovery::new().await);
+        let value = replaceable(&discovery).await;
+        let host = Host::new("s-1").await;
+        serve_list(discovery, vec![host.entry("up")]);
+        let mut old = Process::start(&value, &dir).await;
+        old.until_ready().await;
+        let address: SocketAddr =
+            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let mut pairs = Vec::new();
+        for id in 1..=30 {
+            let mut client = Peer::connect(address).await;
+            client.send(&format!("OPEN {id:016x} {id:016x} c=chat,d=5000\r\n")).await;
+            let mut server = host.accept().await;
+            server.line().await.expect("the first line");
+            server.send("UP 00ff\r\nA 1\r\nA ").await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+            assert_eq!(client.line().await.as_deref(), Some("A 1"));
+            client.send("M 1\r\nM ").await;
+            assert_eq!(server.line().await.as_deref(), Some("M 1"));
+            pairs.push((client, server));
+        }
+        // One whose attempt is out meanwhile.
+        let mut late = Peer::connect(address).await;
+        late.send("OPEN 99 99 c=chat,d=1500\r\n").await;
+        let mut late_server = host.accept().await;
+        late_server.line().await.expect("the first line");
+        let new = Process::start(&value, &dir).await;
+        new.until_ready().await;
+        old.signal("-TERM").await;
+        while new.figure("inflight").await < 30 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        late_server.send("UP 00aa\r\n").await;
+        assert_eq!(late.line().await.as_deref(), Some("UP 00aa"));
+        let status =
+            timeout(Duration::from_secs(5), old.child.wait()).await.expect("in time").expect("ended");
+        assert!(status.success());
+        for (client, server) in &mut pairs {
+            client.send("2\r\n").await;
+            assert_eq!(server.line().await.as_deref(), Some("M 2"));
+            server.send("2\r\nLOAD 3000\r\n").await;
+            assert_eq!(client.line().await.as_deref(), Some("A 2"));
+            assert_eq!(client.line().await.as_deref(), Some("LOAD 3000"));
+        }
+        late.send("M 1\r\n").await;
+        assert_eq!(late_server.line().await.as_deref(), Some("M 1"));
+        assert_eq!(
+            (new.figure("inflight").await, new.figure("success.chat").await),
+            (31, 0),
+            "counted where it came up"
+        );
+        // An id that is open goes on being known.
+        let mut twin = Peer::connect(address).await;
+        twin.send("OPEN 99 99 c=chat,d=1500\r\n").await;
+        assert_eq!(twin.line().await.as_deref(), Some("ERR"));
+        let (mut client, mut server) = pairs.pop().expect("one");
+        server.send("BYE\r\n").await;
+        drop(server);
+        assert_eq!(client.line().await.as_deref(), Some("BYE"));
+        assert_eq!(client.line().await, None);
+        // And the decisions know of them: a host that is taken out loses them.
+        assert_eq!(new.call("POST", "/control/hosts/s-1/offline").await.expect("an answer").0, 200);
+        for (client, _) in &mut pairs {
+            assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+        }
+    });
+}
+
 #[test]
 fn a_successor_that_dies_and_a_third_process_do_no_harm() {
     run(async {
