A successor that leaves first passes nothing back; new classes need all classes' keys

Guards against a process that passes connections on to itself (the way to it is removed once the process before has ended), against a front that meets no PONG at the address two processes share, and against a new class that lost a key. Open: one connection in some hundred back to back is reset in the microsecond in which a listener of its own closes; sharing the one socket comes next.

--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -8,7 +8,7 @@
 use alderstile::interface::{Micros, Settings};
 use alderstile::settings::{self, Keys, SettingsError, absent};
 use log::warn;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use thiserror::Error;
 
 use crate::discovery::List;
@@ -305,10 +305,18 @@
         (Value::Object(old), _) => old.iter().find_map(|(key, old)| {
             lacking(old, new.get(key).unwrap_or(&Value::Null)).map(|rest| under(key, rest))
         }),
-        (Value::Array(old), Value::Array(new)) => old.iter().find_map(|old| {
-            let name = old.get("name")?;
-            let new = new.iter().find(|new| new.get("name") == Some(name))?;
-            lacking(old, new).map(|rest| under(&plain(name), rest))
+        (Value::Array(old), Value::Array(new)) => new.iter().find_map(|new| {
+            let name = new.get("name")?;
+            let known = old.iter().find(|old| old.get("name") == Some(name));
+            // A new one is held against what all of the old have, but for what hangs on its semantics.
+            let all = |key: &str| old.iter().all(|old| !old.get(key).unwrap_or(&Value::Null).is_null());
+            let first = old.first().and_then(Value::as_object).into_iter().flat_map(Map::keys);
+            let mut usual = first.filter(|key| !["window", "group"].contains(&key.as_str()) && all(key));
+            let lost = match known {
+                Some(known) => lacking(known, new),
+                None => usual.find(|key| new.get(*key).unwrap_or(&Value::Null).is_null()).cloned(),
+            };
+            lost.map(|rest| under(&plain(name), rest))
         }),
         _ => None,
     }
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -75,6 +75,8 @@
     pub discovery_moved: Notify,
     /// No more clients are to be taken in.
     pub door: Notify,
+    /// The process before this one has ended.
+    pub alone: Notify,
     /// The other process has what both would use: this one lets go of it.
     pub left: Notify,
     /// Connections that hold no request.
@@ -176,6 +178,7 @@
             link: RefCell::default(),
             door: Notify::new(),
             left: Notify::new(),
+            alone: Notify::new(),
         };
         for (host, stand) in node.kept.borrow().hosts() {
             node.decide(|facade, now| stand.apply(facade, now, server_id(host)));
@@ -300,6 +303,11 @@
         self.can_serve() && self.listening.get() && !self.leaving.get()
     }
 
+    /// Whether the front is to send clients to the clients' address, where another process of this node may serve.
+    pub fn wanted(&self) -> bool {
+        self.ready() || self.shared()
+    }
+
     /// Whether clients could be served.
     pub fn can_serve(&self) -> bool {
         self.ready.get()
@@ -347,7 +355,10 @@
     /// Takes over what the process before has told. The list is asked for at once: that one's news end with it.
     pub fn take_over(&self, hello: &Hello) {
         for (host, stand) in &hello.hosts {
-            self.stand(host, *stand);
+            // What the file told already stands.
+            if !self.kept.borrow().hosts().any(|known| known == (host.as_str(), *stand)) {
+                self.stand(host, *stand);
+            }
         }
         let mut ids = self.ids.borrow_mut();
         for id in &hello.ids {
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/pass.rs
@@ -92,8 +92,26 @@
     Ok(())
 }
 
-/// Takes connections in until it is dropped.
+/// Takes connections in until the process before has ended. Nobody is to find the way after that: this process would
+/// pass connections on to itself.
 pub async fn receive(node: Rc<Node>, from: UnixDatagram) {
+    let ended = async {
+        node.alone.notified().await;
+        // What it sent last may not be read yet.
+        tokio::time::sleep(READ).await;
+    };
+    tokio::select! {
+        () = take_in(&node, &from) => {}
+        () = ended => {}
+    }
+    let config = node.config();
+    let Some(dir) = &config.state_dir else { return };
+    if let Err(error) = std::fs::remove_file(path(dir, &config.name)) {
+        warn!("connections passed on: {error}");
+    }
+}
+
+async fn take_in(node: &Rc<Node>, from: &UnixDatagram) {
     let mut data = vec![0; MAX_DATAGRAM];
     let mut taken: u64 = 0;
     loop {
@@ -101,7 +119,7 @@
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
             let mut control = RecvAncillaryBuffer::new(&mut space);
             let read =
-                recvmsg(&from, &mut [IoSliceMut::new(&mut data)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+                recvmsg(from, &mut [IoSliceMut::new(&mut data)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
             let mut sockets = Vec::new();
             for message in control.drain() {
                 if let RecvAncillaryMessage::ScmRights(fds) = message {
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -198,7 +198,7 @@
             return Ok(line);
         }
         pinged = true;
-        if !node.ready() || client.stream.write_all(b"PONG\r\n").await.is_err() {
+        if !node.wanted() || client.stream.write_all(b"PONG\r\n").await.is_err() {
             return Err(Reason::Pinged);
         }
     }
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -40,9 +40,12 @@
         node.leave();
         node.left.notify_one();
         node.linked().iter().for_each(|link| link.tell_closed());
-        match pass::sender(&node.config()) {
-            Ok(to) => node.pass_all(to),
-            Err(error) => warn!("leaving: connections can't be passed on: {error}"),
+        // A successor that is told to leave first has nobody to pass them on to: the one that serves takes none back.
+        if node.linked().is_some_and(|link| link.successor) {
+            match pass::sender(&node.config()) {
+                Ok(to) => node.pass_all(to),
+                Err(error) => warn!("leaving: connections can't be passed on: {error}"),
+            }
         }
     }
     while node.served() > 0 && Instant::now() < last {
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -118,14 +118,17 @@
     pub held: Cell<usize>,
     /// The other takes clients.
     ready: Cell<bool>,
+    /// The other takes over from this process, and not this one from it.
+    pub successor: bool,
     next: Cell<u64>,
     owed: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
 }
 
 impl Link {
-    fn new(say: mpsc::UnboundedSender<Word>, held: usize) -> Rc<Self> {
-        let (ready, next) = (Cell::new(false), Cell::new(0));
-        Rc::new(Link { say, held: Cell::new(held), ready, next, owed: RefCell::default() })
+    fn new(say: mpsc::UnboundedSender<Word>, held: usize, successor: bool) -> Rc<Self> {
+        // A predecessor does until it says otherwise.
+        let (ready, next) = (Cell::new(!successor), Cell::new(0));
+        Rc::new(Link { say, held: Cell::new(held), ready, successor, next, owed: RefCell::default() })
     }
 
     /// Whether the other takes clients, so that this process may go.
@@ -233,14 +236,13 @@
 pub fn follow(node: &Rc<Node>, predecessor: Predecessor) -> impl Future<Output = ()> + use<> {
     let Predecessor { hello, reader, writer } = predecessor;
     let (say, words) = mpsc::unbounded_channel();
-    let link = Link::new(say, hello.held);
-    // It does until it says otherwise.
-    link.ready.set(true);
+    let link = Link::new(say, hello.held, false);
     node.link(Some(link.clone()));
     let node = node.clone();
     async move {
         talk(&node, &link, reader, writer, words).await;
         info!("the process before this one has ended");
+        node.alone.notify_one();
     }
 }
 
@@ -286,7 +288,7 @@
         Ok(Word::Join { version: VERSION }) => {
             info!("another process takes over");
             let (say, words) = mpsc::unbounded_channel();
-            let link = Link::new(say, 0);
+            let link = Link::new(say, 0, true);
             // What is told from here on comes after the hello.
             node.link(Some(link.clone()));
             let hello = Word::Hello(Box::new(node.hello(VERSION)));
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -184,7 +184,7 @@
         // And back, under its old number.
         value["settings"]["classes"] = presence;
         value["settings"]["classes"][1] = serde_json::json!({"name": "presence", "aim": 1, "worth": 1.0,
-            "semantics": "fragile", "give_up": 9});
+            "semantics": "fragile", "give_up": 9, "stream": true});
         reload(&setup.node, Some(&file("classes", &value)), |_| None);
         assert_eq!(setup.node.config().gone.iter().collect::<Vec<_>>(), ["video"]);
         assert_eq!(setup.node.config().classes, ["chat", "presence", "video"]);
@@ -283,6 +283,15 @@
         for text in ["", "\n", "null", "[]", "3", "{}", "NaN", "\u{fffd}"] {
             bad.push((format!("{text:?}"), text.to_owned()));
         }
+        // A new class without what all classes have.
+        for key in ["aim", "worth", "give_up", "stream", "semantics"] {
+            let mut value = good.clone();
+            let mut class = value["settings"]["classes"][0].clone();
+            class["name"] = "video".into();
+            class.as_object_mut().and_then(|fields| fields.remove(key)).expect("a key of a class");
+            value["settings"]["classes"][1] = class;
+            bad.push((format!("a new class without {key}"), value.to_string()));
+        }
         let path = file("bad", &Value::Null);
         for (number, (what, text)) in bad.iter().enumerate() {
             // What else is new in it must not count either.
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -291,6 +291,47 @@
     });
 }
 
+#[test]
+fn a_successor_that_is_told_to_leave_first_moves_its_clients_and_the_old_one_serves_on() {
+    run(async {
+        let (dir, discovery) = (dir("first"), Discovery::new().await);
+        let value = replaceable(&discovery).await;
+        let host = Host::new("s-1").await;
+        serve_list(discovery, vec![host.entry("up")]);
+        serve_host(host, Rc::default());
+        let old = Process::start(&value, &dir).await;
+        old.until_ready().await;
+        let mut new = Process::start(&value, &dir).await;
+        new.until_ready().await;
+        let address: SocketAddr =
+            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let mut clients = Vec::new();
+        while new.figure("success.chat").await < 5 {
+            let mut client = Peer::connect(address).await;
+            let id = clients.len();
+            client.send(&format!("OPEN {id:016x} {id:016x} c=chat,d=5000\r\n")).await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+            clients.push(client);
+        }
+        let before = old.figure("inflight").await;
+        new.signal("-TERM").await;
+        for number in 0..20 {
+            let mut front = Peer::connect(address).await;
+            front.send("PING\r\n").await;
+            assert_eq!(front.line().await.as_deref(), Some("PONG"), "the node goes on, at try {number}");
+        }
+        let status =
+            timeout(Duration::from_secs(5), new.child.wait()).await.expect("in time").expect("ended");
+        assert!(status.success());
+        let mut moved = 0;
+        for client in &mut clients {
+            moved += u64::from(timeout(Duration::from_millis(20), client.line()).await.is_ok());
+        }
+        assert_eq!(moved, clients.len() as u64 - before, "those of the one that left were told to move");
+        assert_eq!(old.figure("inflight").await, before);
+    });
+}
+
 #[test]
 fn a_successor_that_dies_and_a_third_process_do_no_harm() {
     run(async {
