The successor takes clients from the same socket: no connection meets a closed door

Ruled out: a queue left unread (emptied in the same step). Now the predecessor shares its listening socket over the private socket; the queue outlives it.

--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -44,16 +44,27 @@
 
 /// Accepts until the node's door is closed, or it is dropped.
 pub async fn run(node: Rc<Node>, listener: TcpListener) {
-    node.listening(true);
+    let listener = Rc::new(listener);
+    node.listen(Some(listener.clone()));
     tokio::select! {
         () = accept(&node, &listener) => {}
-        () = node.door.notified() => close(&node, listener).await,
+        () = node.door.notified() => {}
     }
-    node.listening(false);
+    node.listen(None);
+    // Nobody else holds it now, but for a moment in which it is shared: the other process has it then.
+    if let Ok(listener) = Rc::try_unwrap(listener) {
+        close(&node, listener).await;
+    }
+}
+
+/// The socket that the process before shares, as this process's own.
+pub fn shared(door: std::net::TcpListener) -> io::Result<TcpListener> {
+    door.set_nonblocking(true)?;
+    TcpListener::from_std(door)
 }
 
-/// Takes in what waits, and ends the listener in the very step in which nothing waits any more: what comes between
-/// would be reset. The address is another process's from then on.
+/// Takes in what waits, and ends the listener in the very step in which nothing waits any more: where the other process
+/// has a socket of its own, what comes between is reset. The address is that one's from then on.
 async fn close(node: &Rc<Node>, listener: TcpListener) {
     let until = Instant::now() + CLOSING;
     let listener = match listener.into_std() {
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -113,16 +113,29 @@
     while !node.can_serve() {
         sleep(CAN_SERVE).await;
     }
-    let listener = match listen(&node) {
-        Ok(listener) => listener,
-        Err(error) => return error!("{error}"),
-    };
     match pass::receiver(&node.config()) {
         Ok(from) => from.into_iter().for_each(|from| {
             spawn_local(pass::receive(node.clone(), from));
         }),
         Err(error) => warn!("connections can't be passed on to this process: {error}"),
     }
+    if let Some(link) = node.linked() {
+        link.ask_door().await;
+        // The other has sent it before it answered; this process may not have read it.
+        sleep(CAN_SERVE).await;
+    }
+    let listener = match node.take_shared_door().map(listener::shared) {
+        Some(Ok(listener)) => {
+            info!("{} takes clients in beside the process before", node.config().name);
+            Ok(listener)
+        }
+        // A socket of its own, on the same address.
+        _ => listen(&node),
+    };
+    let listener = match listener {
+        Ok(listener) => listener,
+        Err(error) => return error!("{error}"),
+    };
     // Before anyone hears that this process is ready: the other one may be told to go for it.
     if let Some(link) = node.linked() {
         link.tell_ready().await;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -10,7 +10,7 @@
 use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
 use alderstile::shadow::Differences;
 use log::info;
-use tokio::net::UnixDatagram;
+use tokio::net::{TcpListener, UnixDatagram};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -99,7 +99,8 @@
     inflight: Rc<Cell<usize>>,
     counters: RefCell<Counters>,
     kept: RefCell<Kept>,
-    listening: Cell<bool>,
+    door_held: RefCell<Option<Rc<TcpListener>>>,
+    door_shared: RefCell<Option<std::net::TcpListener>>,
     link: RefCell<Option<Rc<Link>>>,
 }
 
@@ -174,7 +175,8 @@
             inflight: Rc::default(),
             counters: RefCell::new(counters),
             kept: RefCell::new(kept),
-            listening: Cell::default(),
+            door_held: RefCell::default(),
+            door_shared: RefCell::default(),
             link: RefCell::default(),
             door: Notify::new(),
             left: Notify::new(),
@@ -300,7 +302,7 @@
 
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
-        self.can_serve() && self.listening.get() && !self.leaving.get()
+        self.can_serve() && self.listens().is_some() && !self.leaving.get()
     }
 
     /// Whether the front is to send clients to the clients' address, where another process of this node may serve.
@@ -313,9 +315,24 @@
         self.ready.get()
     }
 
-    /// Clients are taken in from now on, or no more.
-    pub fn listening(&self, listening: bool) {
-        self.listening.set(listening);
+    /// Clients are taken in here from now on, or nowhere any more.
+    pub fn listen(&self, door: Option<Rc<TcpListener>>) {
+        self.door_held.replace(door);
+    }
+
+    /// Where clients are taken in.
+    pub fn listens(&self) -> Option<Rc<TcpListener>> {
+        self.door_held.borrow().clone()
+    }
+
+    /// The process before shares the socket on which it takes clients in.
+    pub fn shared_door(&self, door: Option<std::net::TcpListener>) {
+        self.door_shared.replace(door);
+    }
+
+    /// That socket, if it has come.
+    pub fn take_shared_door(&self) -> Option<std::net::TcpListener> {
+        self.door_shared.take()
     }
 
     /// The other process of this node, while there is one.
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/pass.rs
@@ -1,10 +1,10 @@
-//! Passing connections on to the process that takes over: both sockets of each, and all that is known of it, as one
-//! datagram on a private socket. Clients and hosts notice nothing.
+//! Passing sockets on to the process that takes over, on a private socket: that on which clients are taken in, and both
+//! of each connection with all that is known of it. Clients and hosts notice nothing.
 
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::net::TcpStream;
-use std::os::fd::AsFd;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,14 +76,33 @@
     Ok(socket)
 }
 
+/// What one datagram holds beside its descriptors.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Parcel {
+    /// A client's socket and its host's.
+    Connection(Passed),
+    /// The socket on which clients are taken in.
+    Door,
+}
+
 /// Passes a connection on; the other process has it once this returns.
-pub async fn send(to: &UnixDatagram, passed: &Passed, sockets: [&impl AsFd; 2]) -> io::Result<()> {
-    let data = serde_json::to_vec(passed)?;
-    let fds = sockets.map(AsFd::as_fd);
+pub async fn send(to: &UnixDatagram, passed: Passed, sockets: [&impl AsFd; 2]) -> io::Result<()> {
+    send_parcel(to, &Parcel::Connection(passed), &sockets.map(AsFd::as_fd)).await
+}
+
+/// Shares the socket on which clients are taken in: both processes take from its one queue, so that none is lost when
+/// this one ends.
+pub async fn share_door(to: &UnixDatagram, door: &impl AsFd) -> io::Result<()> {
+    send_parcel(to, &Parcel::Door, &[door.as_fd()]).await
+}
+
+async fn send_parcel(to: &UnixDatagram, parcel: &Parcel, fds: &[BorrowedFd<'_>]) -> io::Result<()> {
+    let data = serde_json::to_vec(parcel)?;
     let sent = to.async_io(Interest::WRITABLE, || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut control = SendAncillaryBuffer::new(&mut space);
-        if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+        if !control.push(SendAncillaryMessage::ScmRights(fds)) {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         Ok(sendmsg(to, &[IoSlice::new(&data)], &mut control, SendFlags::NOSIGNAL)?)
@@ -123,27 +142,25 @@
             let mut sockets = Vec::new();
             for message in control.drain() {
                 if let RecvAncillaryMessage::ScmRights(fds) = message {
-                    sockets.extend(fds.map(TcpStream::from));
+                    sockets.extend(fds);
                 }
             }
             Ok((read.bytes, sockets))
         });
         match received.await {
-            Ok((length, sockets)) => {
-                match serde_json::from_slice(&data[..length]).map(|passed| (passed, sockets)) {
-                    Ok((passed, sockets)) => match <[TcpStream; 2]>::try_from(sockets) {
-                        Ok(sockets) => {
-                            taken += 1;
-                            if taken == 1 {
-                                info!("connections are passed on to this process");
-                            }
-                            spawn_local(session::resume(node.clone(), passed, sockets));
-                        }
-                        Err(sockets) => warn!("a connection passed on with {} sockets", sockets.len()),
-                    },
-                    Err(error) => warn!("a connection passed on: {error}"),
+            Ok((length, sockets)) => match (serde_json::from_slice(&data[..length]), sockets.len()) {
+                (Ok(Parcel::Connection(passed)), 2) => {
+                    taken += 1;
+                    if taken == 1 {
+                        info!("connections are passed on to this process");
+                    }
+                    let sockets = sockets.into_iter().map(TcpStream::from).collect();
+                    spawn_local(session::resume(node.clone(), passed, sockets));
                 }
-            }
+                (Ok(Parcel::Door), 1) => node.shared_door(sockets.into_iter().map(TcpListener::from).next()),
+                (Ok(_), number) => warn!("passed on with {number} sockets"),
+                (Err(error), _) => warn!("passed on: {error}"),
+            },
             Err(error) => {
                 warn!("connections passed on: {error}");
                 tokio::time::sleep(PAUSE).await;
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -477,20 +477,21 @@
             up_ms: millis(self.up_ms),
             age_ms: millis(self.arrived.elapsed().as_millis()),
         };
-        pass::send(&to, &passed, [&client.stream, &host.stream]).await
+        pass::send(&to, passed, [&client.stream, &host.stream]).await
     }
 }
 
 /// Goes on with a connection that the process before has passed on.
-pub async fn resume(node: Rc<Node>, passed: Passed, sockets: [std::net::TcpStream; 2]) {
+pub async fn resume(node: Rc<Node>, passed: Passed, sockets: Vec<std::net::TcpStream>) {
     let line = passed.line.as_bytes();
     let Some(ClientLine::Open(open)) = client_line(line) else {
         return warn!("a connection passed on with a line that is none");
     };
-    let [client, host] = sockets.map(TcpStream::from_std);
-    let (client, host) = match (client, host) {
-        (Ok(client), Ok(host)) => (client, host),
-        (Err(error), _) | (_, Err(error)) => return warn!("a connection passed on: {error}"),
+    let sockets: io::Result<Vec<_>> = sockets.into_iter().map(TcpStream::from_std).collect();
+    let [client, host] = match sockets.map(<[TcpStream; 2]>::try_from) {
+        Ok(Ok(both)) => both,
+        Ok(Err(sockets)) => return warn!("a connection passed on with {} sockets", sockets.len()),
+        Err(error) => return warn!("a connection passed on: {error}"),
     };
     let buffers = (LineBuffer::holding(&passed.from_client), LineBuffer::holding(&passed.from_host));
     let (Some(from_client), Some(from_host)) = buffers else {
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -27,6 +27,7 @@
 use crate::discovery::{List, server_id};
 use crate::kept::Stand;
 use crate::node::Node;
+use crate::pass;
 
 /// The form of the lines; a process that speaks another one starts alone.
 const VERSION: u32 = 1;
@@ -76,6 +77,10 @@
     Ready {
         number: u64,
     },
+    /// The successor can be passed sockets, and asks for the one on which clients are taken in; answered by `Done`.
+    Door {
+        number: u64,
+    },
     /// A host stands elsewhere; answered by `Done`.
     Host {
         number: u64,
@@ -160,6 +165,11 @@
         let _ended = self.say.send(Word::Closed);
     }
 
+    /// Asks for the socket on which the other takes clients in. It has been passed on once this returns, or won't be.
+    pub async fn ask_door(&self) {
+        self.ask(|number| Word::Door { number }).await;
+    }
+
     /// This process takes clients from now on.
     pub async fn tell_ready(&self) {
         self.ask(|number| Word::Ready { number }).await;
@@ -311,6 +321,11 @@
     warn!("a process that wants to take over: {error}");
 }
 
+async fn share_door(node: &Node) -> io::Result<()> {
+    let door = node.listens().ok_or(io::ErrorKind::NotConnected)?;
+    pass::share_door(&pass::sender(&node.config())?, &*door).await
+}
+
 /// Speaks with the other process until the stream ends, which means that it has.
 async fn talk(
     node: &Node,
@@ -328,6 +343,12 @@
                     info!("the process that takes over serves");
                     let _ended = link.say.send(Word::Done { number });
                 }
+                Word::Door { number } => {
+                    if let Err(error) = share_door(node).await {
+                        warn!("the socket for clients can't be shared: {error}");
+                    }
+                    let _ended = link.say.send(Word::Done { number });
+                }
                 Word::Host { number, host, stand } => {
                     node.stand(&host, stand);
                     let _ended = link.say.send(Word::Done { number });
