--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -176,7 +176,8 @@
         assert_eq!(old.call("POST", "/control/hosts/s-1/offline").await.expect("an answer").0, 200);
         let banned = served[0].borrow().len();
         let (seen, stop) = (Rc::<RefCell<Seen>>::default(), Rc::default());
-        let address = value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address: SocketAddr =
+            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
         for lane in 1..=20 {
             clients(address, seen.clone(), Rc::clone(&stop), lane);
         }
@@ -189,6 +190,14 @@
         assert_eq!(old.figure("hosts_down").await, 2);
         assert_eq!(old.call("POST", "/control/hosts/s-2/online").await.expect("an answer").0, 200);
         assert_eq!(new.figure("hosts_down").await, 1);
+        // From one queue, which outlives the old process: with two, what is on its way to the old one's would be reset.
+        let port = format!(":{:04X}", address.port());
+        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system's sockets");
+        let listens = |line: &&str| {
+            line.split_whitespace().nth(3) == Some("0A")
+                && line.split_whitespace().nth(1).is_some_and(|local| local.ends_with(&port))
+        };
+        assert_eq!(sockets.lines().filter(listens).count(), 1);
         // Both take clients.
         while new.figure("success.chat").await < 20 {
             sleep(Duration::from_millis(5)).await;
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -145,3 +145,66 @@
     let (_, answer) = facade.pick(START + ms(3_000), ask());
     assert_eq!(tried(answer), ServerId(1), "nothing lands where messages are late");
 }
+
+#[test]
+fn a_host_that_is_back_gets_its_first_connection_within_five_seconds_and_its_budget() {
+    // A small node: six hosts with ten connections each, and one request in 300 ms.
+    for seed in 0..50 {
+        let mut facade = Facade::new(settings(), seed, START);
+        let (mut now, servers) = (START, 6);
+        facade.report_list(now, ListKind::Full, (1..=servers).map(entry).collect());
+        for _ in 0..60 {
+            let (id, answer) = facade.pick(now, ask());
+            tried(answer);
+            facade.report_up(now, id, ms(10));
+        }
+        let host = ServerId(1);
+        facade.take_out(now, host);
+        assert_eq!(facade.avoided(now), 1);
+        let mut got = Vec::new();
+        for step in 0..30 {
+            now = now + ms(300);
+            for id in facade.tick(now).moves {
+                facade.report_ended(now, id, host, Outcome::Cancelled);
+            }
+            if step == 13 {
+                facade.put_back(now, host, now);
+                assert_eq!(facade.avoided(now), 0);
+            }
+            let (id, answer) = facade.pick(now, ask());
+            facade.report_up(now, id, ms(10));
+            if tried(answer) == host {
+                got.push(step);
+            }
+        }
+        assert!(got.first().is_some_and(|first| *first > 13), "seed {seed}: {got:?}");
+        // A quarter of what ten connections and three times that allow, over a span of two seconds.
+        let most =
+            got.iter().map(|from| got.iter().filter(|at| (*from..from + 7).contains(*at)).count()).max();
+        assert!(most <= Some(14), "seed {seed}: {got:?}");
+    }
+}
+
+#[test]
+fn new_settings_keep_the_record_and_count_for_the_next_attempt() {
+    let mut facade = facade(settings(), 3);
+    let (held, answer) = facade.pick(START, ask());
+    let one = tried(answer);
+    facade.report_up(START, held, ms(10));
+    let (id, answer) = facade.pick(START, ask());
+    let two = tried(answer);
+    let mut fewer = Settings { max_attempts: 1, ..settings() };
+    fewer.classes.push(support::class(Semantics::Fragile));
+    facade.renew(START, fewer, None);
+    let answer = facade.report_failed(START, id, two, Outcome::Full);
+    assert!(matches!(answer, Answer::Refuse(Some(_))), "no second attempt: {answer:?}");
+    let (_, answer) = facade.pick(START, Ask { class: 1, ..ask() });
+    assert!(tried(answer) != one, "what it holds is still known, and the new class is served");
+    // A stricter effect: what may have run once runs no more.
+    let (id, answer) = facade.pick(START, ask());
+    let three = tried(answer);
+    let mut strict = settings();
+    strict.classes = vec![support::class(Semantics::Fragile), support::class(Semantics::Fragile)];
+    facade.renew(START, strict, None);
+    assert_eq!(facade.report_failed(START, id, three, Outcome::Reset), Answer::Fail);
+}
