--- a/src/policy.rs
+++ b/src/policy.rs
@@ -232,6 +232,8 @@
     held_load: Vec<(f64, u32)>,
     /// What a set-up usually takes, at all servers.
     usual_setup_ms: Mean,
+    /// What warm servers usually held of late, as [`Policy::held`].
+    usual_held: Mean,
     retry_tokens: f64,
     ask_failures: u32,
     /// A timer for asking again is set.
@@ -261,6 +263,7 @@
             usual_load: Mean::default(),
             held_load: vec![(0.0, 0); classes],
             usual_setup_ms: Mean::default(),
+            usual_held: Mean::default(),
             retry_tokens: RETRY_CAP,
             ask_failures: 0,
             asking: false,
@@ -852,8 +855,12 @@
         self.log_left = LOG_LINES;
         self.stood += self.conns.len() as f64 * PERIOD.as_secs_f64();
         let held = self.held(now);
+        self.usual_held.add(held);
+        // Guards against a release that leaves but a slow server warm, which holds next to nothing: what
+        // warm ones held a moment ago is still known of them.
+        let shown = self.usual_held.0.map_or(held, |usual| usual.max(held));
         for s in 0..self.servers.len() {
-            self.permit(now, s, held);
+            self.permit(now, s, shown);
             let server = &mut self.servers[s];
             server.slowness = (server.slowness - SPEED_GAIN).max(0.0);
             server.limit = server.limit.map(|limit| limit * LIMIT_GAIN);
--- a/tests/facade.rs
+++ b/tests/facade.rs
@@ -208,3 +208,33 @@
     facade.renew(START, strict, None);
     assert_eq!(facade.report_failed(START, id, three, Outcome::Reset), Answer::Fail);
 }
+
+#[test]
+fn cold_hosts_take_what_warm_ones_held_a_moment_ago_where_the_only_warm_one_is_nearly_empty() {
+    let mut facade = facade(settings(), 5);
+    let mut now = START;
+    let mut held = Vec::new();
+    for _ in 0..50 {
+        let (id, answer) = facade.pick(now, ask());
+        held.push((id, tried(answer)));
+        facade.report_up(now, id, ms(10));
+    }
+    for _ in 0..20 {
+        now = now + ms(1_000);
+        facade.tick(now);
+    }
+    // A release: four hosts are replaced, and the one that stays is full and empty.
+    let cold = |id| ServerEntry { started: Some(now), ..entry(id) };
+    facade.report_list(now, ListKind::Full, std::iter::once(entry(1)).chain((6..10).map(cold)).collect());
+    for (id, server) in held {
+        facade.report_ended(now, id, server, Outcome::Cancelled);
+    }
+    let (id, answer) = facade.pick(now, ask());
+    facade.report_failed(now, id, tried(answer), Outcome::Full);
+    now = now + ms(1_000);
+    facade.tick(now);
+    let served =
+        (0..8).filter(|_| matches!(facade.pick(now, ask()).1, Answer::Try(server, _) if server.0 > 5));
+    let served = served.count();
+    assert!(served >= 4, "{served} of 8: a start's share of ten connections at each of four hosts");
+}
