--- a/src/policy.rs
+++ b/src/policy.rs
@@ -311,7 +311,7 @@
             Event::Probed { server, report, .. } => self.probed(now, server, &report, out),
             Event::Peer(_, data) => self.heard(now, &data),
             Event::Settings(settings) => {
-                // The record stays; what was decided before stands, and the next attempt goes by the new word.
+                // The record stays, and so does what was decided; the next attempt goes by the new word.
                 self.late_at = late_at(&settings);
                 self.class_load.resize(settings.classes.len(), Mean::default());
                 self.held_load.resize(settings.classes.len(), (0.0, 0));
