--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -25,8 +25,8 @@
 Usage: alderstile COMMAND [--config FILE]
 
 Commands:
-  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move; SIGHUP reads the
-                configuration again
+  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move, or pass them on to a
+                process started beside this one; SIGHUP reads the configuration again
   check-config  read and check the configuration, and say what is wrong with it
   version       print the version
   help          print this
@@ -79,7 +79,9 @@
         Ok(Command::CheckConfig(path)) => load(path.as_deref()).map(|config| {
             let shadow = if config.shadow.is_some() { ", a second instance watches" } else { "" };
             let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
-            println!("{name}: listens on {listen}, {classes} classes{shadow}: fine");
+            let operators =
+                config.admin_addr.map(|address| format!(", operators at {address}")).unwrap_or_default();
+            println!("{name}: listens on {listen}{operators}, {classes} classes{shadow}: fine");
         }),
         Ok(Command::Serve(path)) => serve(path.as_deref()),
     };
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -34,7 +34,8 @@
     if node.shared() {
         info!("leaving: another process serves here, clients are taken in no more");
         node.door.notify_one();
-        while !accepting.is_finished() {
+        // A successor that can't serve yet never comes to its door.
+        while !accepting.is_finished() && Instant::now() < last {
             sleep(Duration::from_millis(1)).await;
         }
         node.leave();
@@ -53,8 +54,10 @@
         node.move_some(node.served().div_ceil(usize::try_from(steps).unwrap_or(usize::MAX)));
         sleep(LOOK).await;
     }
-    node.move_all();
-    // Those that come up from now on are moved by their own sessions.
+    // Those that come up from now on are moved, or passed on, by their own sessions.
+    if node.passing().is_none() {
+        node.move_all();
+    }
     accepting.abort();
     drop(accepting.await);
     while node.descriptors() > 0 {
--- a/crates/alderstile-node/tests/config.rs
+++ b/crates/alderstile-node/tests/config.rs
@@ -153,3 +153,27 @@
     value["settings"]["extra"]["unheard_of"] = json!(3);
     assert!(Config::parse(value).is_ok(), "the platform hands over many keys");
 }
+
+#[test]
+fn the_operators_address_is_off_unless_named_and_the_environment_stands_above_the_file() {
+    let mut value = config("127.0.0.1:1", "127.0.0.1:2");
+    let env = |name: &str| match name {
+        "ROUTER_ADMIN_ADDR" => Some("127.0.0.1:7".to_owned()),
+        "TMPDIR" => Some("/of/its/own".to_owned()),
+        _ => None,
+    };
+    let off = Config::of_file(value.clone(), |name| env(name).filter(|_| name == "TMPDIR")).expect("fine");
+    assert_eq!((off.admin_addr, off.state_dir), (None, None));
+    value["admin_addr"] = "127.0.0.1:3".into();
+    let file = Config::of_file(value.clone(), |_| None).expect("fine");
+    assert_eq!(file.admin_addr.map(|address| address.port()), Some(3));
+    let both = Config::of_file(value.clone(), env).expect("fine");
+    assert_eq!(both.admin_addr.map(|address| address.port()), Some(7));
+    assert_eq!(both.state_dir.as_deref(), Some(Path::new("/of/its/own")));
+    assert_eq!(
+        both.told["admin_addr"], "127.0.0.1:3",
+        "what the file told, for the next one to be held against"
+    );
+    value["admin_addr"] = "here".into();
+    assert!(error(value).contains("the key admin_addr has the value \"here\""));
+}
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -264,6 +264,8 @@
         while new.figure("inflight").await < 30 {
             sleep(Duration::from_millis(5)).await;
         }
+        // The old one has nothing left but this.
+        sleep(Duration::from_millis(200)).await;
         late_server.send("UP 00aa\r\n").await;
         assert_eq!(late.line().await.as_deref(), Some("UP 00aa"));
         let status =
@@ -341,6 +343,34 @@
     });
 }
 
+#[test]
+fn a_successor_that_cannot_serve_yet_leaves_the_old_one_serving() {
+    run(async {
+        let (dir, discovery) = (dir("waits"), Discovery::new().await);
+        let value = replaceable(&discovery).await;
+        let host = Host::new("s-1").await;
+        // The first call is answered, all others wait.
+        let watch = async { discovery.watch(&[&list(1, true, &[host.entry("up")])]).await };
+        let old = Process::start(&value, &dir).await;
+        let _watch = watch.await;
+        old.until_ready().await;
+        let mut new = Process::start(&value, &dir).await;
+        let _unanswered = discovery.call().await;
+        assert_eq!(new.call("GET", "/control/ready").await.expect("an answer").0, 503);
+        assert_eq!(old.call("GET", "/control/ready").await.expect("an answer").0, 200);
+        new.signal("-TERM").await;
+        let status =
+            timeout(Duration::from_secs(5), new.child.wait()).await.expect("in time").expect("ended");
+        assert!(status.success());
+        serve_host(host, Rc::default());
+        let address: SocketAddr =
+            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let mut client = Peer::connect(address).await;
+        client.send("OPEN 1 1 c=chat,d=5000\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+    });
+}
+
 #[test]
 fn a_successor_that_dies_and_a_third_process_do_no_harm() {
     run(async {
