--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -60,6 +60,7 @@
     }
     accepting.abort();
     drop(accepting.await);
+    node.listen(None);
     while node.descriptors() > 0 {
         sleep(LOOK).await;
     }
