--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -210,8 +210,8 @@
         Ok((Config { settings, shadow, discovery, stop_within, connect_timeout, told, ..next }, waiting))
     }
 
-    /// The configuration of a process that takes over from one that serves by `before`, which was told by `told`: its own
-    /// file, unless the one that serves would turn that down. What that one has learned counts.
+    /// The configuration of a process that takes over: its own file, unless the one that serves would turn that down. What
+    /// that one has learned counts.
     pub fn taking_over(
         hello: &Hello,
         path: Option<&Path>,
--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -23,22 +23,22 @@
 
 /// Listens on an address.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    // A node that starts again takes its address back while old connections linger.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    listen(address, false)
 }
 
 /// Listens where clients connect; the next process of the node may do so beside this one.
 pub fn bind_clients(config: &Config) -> io::Result<TcpListener> {
-    if config.state_dir.is_none() {
-        return bind(config.listen);
-    }
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    listen(config.listen, config.state_dir.is_some())
+}
+
+fn listen(address: SocketAddr, beside: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A node that starts again takes its address back while old connections linger.
     socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    socket.bind(config.listen)?;
+    if beside {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -114,18 +114,24 @@
 /// The id of an open request. It stays taken for a while when this ends.
 pub struct OpenId(Rc<RefCell<Ids>>, Rc<[u8]>);
 
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        let mut ids = self.0.borrow_mut();
-        ids.ended.push_back(self.1.clone());
-        if ids.ended.len() > ENDED_IDS
-            && let Some(oldest) = ids.ended.pop_front()
+impl Ids {
+    /// An id stays known for a while.
+    fn end(&mut self, id: Rc<[u8]>) {
+        self.ended.push_back(id);
+        if self.ended.len() > ENDED_IDS
+            && let Some(oldest) = self.ended.pop_front()
         {
-            ids.taken.remove(&oldest);
+            self.taken.remove(&oldest);
         }
     }
 }
 
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end(self.1.clone());
+    }
+}
+
 /// One of something, counted while this lives.
 pub struct Counted(Rc<Cell<usize>>);
 
@@ -283,7 +289,19 @@
     pub fn open_id(&self, id: &[u8]) -> Option<OpenId> {
         let id: Rc<[u8]> = id.into();
         let new = self.ids.borrow_mut().taken.insert(id.clone());
-        new.then(|| OpenId(self.ids.clone(), id))
+        new.then(|| {
+            self.linked().iter().for_each(|link| link.tell_id(&id));
+            OpenId(self.ids.clone(), id)
+        })
+    }
+
+    /// The other process has taken a request with this id.
+    pub fn know_id(&self, id: &[u8]) {
+        let id: Rc<[u8]> = id.into();
+        let mut ids = self.ids.borrow_mut();
+        if ids.taken.insert(id.clone()) {
+            ids.end(id);
+        }
     }
 
     /// The id of a request that was taken by the process before.
@@ -377,12 +395,7 @@
                 self.stand(host, *stand);
             }
         }
-        let mut ids = self.ids.borrow_mut();
-        for id in &hello.ids {
-            let id: Rc<[u8]> = id.as_bytes().into();
-            ids.taken.insert(id.clone());
-            ids.ended.push_back(id);
-        }
+        hello.ids.iter().for_each(|id| self.know_id(id.as_bytes()));
         self.ask_list.notify_one();
     }
 
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -90,6 +90,8 @@
     Done {
         number: u64,
     },
+    /// The id of a request that the sender has taken.
+    Id(String),
     /// The sender takes no more clients.
     Closed,
 }
@@ -159,6 +161,11 @@
         self.ask(|number| Word::Host { number, host: host.to_owned(), stand }).await;
     }
 
+    /// This process has taken a request with this id.
+    pub fn tell_id(&self, id: &[u8]) {
+        let _ended = self.say.send(Word::Id(String::from_utf8_lossy(id).into_owned()));
+    }
+
     /// This process takes no more clients.
     pub fn tell_closed(&self) {
         // Where the stream is broken nobody is left to hear it.
@@ -353,6 +360,7 @@
                     node.stand(&host, stand);
                     let _ended = link.say.send(Word::Done { number });
                 }
+                Word::Id(id) => node.know_id(id.as_bytes()),
                 Word::Closed => link.ready.set(false),
                 Word::Done { number } => {
                     let owed = link.owed.borrow_mut().remove(&number);
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -124,6 +124,10 @@
     value
 }
 
+fn listens_at(value: &Value) -> SocketAddr {
+    value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address")
+}
+
 /// What clients saw.
 #[derive(Default)]
 struct Seen {
@@ -176,8 +180,7 @@
         assert_eq!(old.call("POST", "/control/hosts/s-1/offline").await.expect("an answer").0, 200);
         let banned = served[0].borrow().len();
         let (seen, stop) = (Rc::<RefCell<Seen>>::default(), Rc::default());
-        let address: SocketAddr =
-            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address = listens_at(&value);
         for lane in 1..=20 {
             clients(address, seen.clone(), Rc::clone(&stop), lane);
         }
@@ -238,8 +241,7 @@
         serve_list(discovery, vec![host.entry("up")]);
         let mut old = Process::start(&value, &dir).await;
         old.until_ready().await;
-        let address: SocketAddr =
-            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address = listens_at(&value);
         let mut pairs = Vec::new();
         for id in 1..=30 {
             let mut client = Peer::connect(address).await;
@@ -314,8 +316,7 @@
         old.until_ready().await;
         let mut new = Process::start(&value, &dir).await;
         new.until_ready().await;
-        let address: SocketAddr =
-            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address = listens_at(&value);
         let mut clients = Vec::new();
         while new.figure("success.chat").await < 5 {
             let mut client = Peer::connect(address).await;
@@ -363,8 +364,7 @@
             timeout(Duration::from_secs(5), new.child.wait()).await.expect("in time").expect("ended");
         assert!(status.success());
         serve_host(host, Rc::default());
-        let address: SocketAddr =
-            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address = listens_at(&value);
         let mut client = Peer::connect(address).await;
         client.send("OPEN 1 1 c=chat,d=5000\r\n").await;
         assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
@@ -388,16 +388,26 @@
             timeout(Duration::from_secs(5), third.child.wait()).await.expect("in time").expect("ended");
         assert!(!status.success(), "a third one ends by itself");
         new.child.kill().await.expect("killed");
-        let address: SocketAddr =
-            value["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        let address = listens_at(&value);
         for id in 0..20 {
             let mut client = Peer::connect(address).await;
             client.send(&format!("OPEN {id:016x} {id:016x} c=chat,d=5000\r\n")).await;
             assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
         }
-        // And another one may take over.
+        // And another one may take over. Ids are known to both, whichever takes the request.
         let new = Process::start(&value, &dir).await;
         new.until_ready().await;
+        for id in 100..110 {
+            let line = format!("OPEN {id:016x} {id:016x} c=chat,d=5000\r\n");
+            let mut client = Peer::connect(address).await;
+            client.send(&line).await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+            // Told within a look.
+            sleep(Duration::from_millis(50)).await;
+            let mut twin = Peer::connect(address).await;
+            twin.send(&line).await;
+            assert_eq!(twin.line().await.as_deref(), Some("ERR"));
+        }
         old.signal("-TERM").await;
         let status =
             timeout(Duration::from_secs(5), old.child.wait()).await.expect("in time").expect("ended");
