--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! A planned stop: every client is told to move before the node leaves.
+//! A planned stop: every client is told to move, or passed on to the process that takes over, before this one ends.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 /// not come back: they are served as ever for the first half of the time that the stop may take, then go one after
 /// the other.
 pub async fn run(node: Rc<Node>, accepting: JoinHandle<()>) {
-    info!("leaving: {} clients are told to move", node.served());
+    info!("leaving: {} clients are served", node.served());
     let may_take = node.config().stop_within;
     let (now, last) = (Instant::now(), Instant::now() + may_take.saturating_sub(KEPT));
     if !node.shared() {
