--- a/src/policy.rs
+++ b/src/policy.rs
@@ -770,8 +770,12 @@
             // Guards against a slow server that no set-up shows because nothing new lands there.
             let doubted = server.delay.is_some_and(|d| d.doubt);
             let due = (doubted || now > server.sent + self.turn()) && !self.set.tells_delay;
-            let due = due && self.warmth(now, s) >= 1.0 && self.record(s) <= BAR * mean * self.power(s);
-            ((conn.tried.contains(&s), paused, crowded, !joins, !due, landing, unseen, !draw(s)), s)
+            let warm = self.warmth(now, s) >= 1.0;
+            // Where records tie, a cold server with a permit goes first: it holds what permits let in, while
+            // warm ones that are empty here are full of what other nodes moved. A group falls alike at all.
+            let full = warm || conn.request.group.is_some();
+            let due = due && warm && self.record(s) <= BAR * mean * self.power(s);
+            ((conn.tried.contains(&s), paused, crowded, !joins, !due, landing, full, unseen, !draw(s)), s)
         };
         let open = (0..self.servers.len()).filter(open).filter(near);
         open.map(rank).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
