The lab: several real processes, faults between them, a history and its checkers

Need: no test started more than a node or a pair, and nothing could cut, delay or pause what stands between them.

`alderstile-lab run FILE` starts up to 20 processes with stand-in hosts, discovery and clients, plays a schedule (TOML, checked whole, errors with file, line and key) and writes one history, which checkers read alone: one answer, no effect twice, not cut off, draining, process. Between any two processes stands a forwarder, where cuts, loss, delay and jitter act; a cut way keeps its listener's queue full, so that connections never come up, as with a machine that is away.

--- /dev/null
+++ b/crates/alderstile-lab/src/history.rs
@@ -0,0 +1,264 @@
+//! What happened in a run, as one file of JSON lines: the only thing that checkers read.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, BufWriter, Write};
+use std::path::Path;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::schedule::{Actor, Kind, Planned, Semantics};
+
+/// A line: when, in seconds from the start, and what.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Line {
+    /// Seconds from the start of the run.
+    pub t: f64,
+    /// What happened.
+    #[serde(flatten)]
+    pub what: Event,
+}
+
+/// What may happen.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+#[serde(tag = "e", rename_all = "snake_case")]
+pub enum Event {
+    /// The first line.
+    Run {
+        /// The schedule's title.
+        title: String,
+        /// Its seed.
+        seed: u64,
+        /// `processes` or `emulated`.
+        on: String,
+        /// How long clients come, seconds.
+        length_s: f64,
+        /// Nodes.
+        nodes: usize,
+        /// Hosts.
+        hosts: usize,
+        /// Classes and what they allow.
+        classes: BTreeMap<String, Semantics>,
+        /// How long after a notice something new may still reach a draining host, seconds.
+        grace_s: f64,
+        /// The members' protocol period, seconds; 0 where no members know of each other.
+        period_s: f64,
+    },
+    /// The last line: a file without it was cut short.
+    End {},
+    /// A fault begins or ends.
+    Fault {
+        /// Its kind.
+        kind: Kind,
+        /// Whether it begins.
+        begins: bool,
+        /// Whom it hits.
+        on: Vec<Actor>,
+        /// From whom.
+        from: Vec<Actor>,
+        /// To whom.
+        to: Vec<Actor>,
+    },
+    /// A process of a node.
+    Process {
+        /// The node.
+        node: usize,
+        /// What became of it.
+        what: Life,
+        /// How it ended, where it ended.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        how: Option<String>,
+    },
+    /// A request's last byte is on its way.
+    Open {
+        /// Its id.
+        id: String,
+        /// The client.
+        client: usize,
+        /// The class.
+        class: String,
+        /// The node.
+        node: usize,
+        /// How long its client waits, seconds.
+        wait_s: f64,
+    },
+    /// A client could not reach a node.
+    Unreached {
+        /// The client.
+        client: usize,
+        /// The node.
+        node: usize,
+    },
+    /// A client has an answer.
+    Answer {
+        /// The request.
+        id: String,
+        /// `up`, `busy`, `failed`, `err`, or the line.
+        what: String,
+        /// What the host gave, of `up`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        receipt: Option<String>,
+    },
+    /// A client gave up waiting for its answer.
+    GaveUp {
+        /// The request.
+        id: String,
+    },
+    /// A request's connection has ended at the client.
+    Closed {
+        /// The request.
+        id: String,
+        /// `bye`, `move`, `end`, `reset`, `left`.
+        how: String,
+    },
+    /// Every half second a client that wants to be served has or hasn't been.
+    Beat {
+        /// The client.
+        client: usize,
+        /// Whether it was.
+        ok: bool,
+    },
+    /// A host took a request's line in: it may have an effect from now on.
+    Ran {
+        /// The host.
+        host: usize,
+        /// The request.
+        id: String,
+        /// What the host gives for it.
+        receipt: String,
+    },
+    /// A node has been told of a host.
+    Told {
+        /// The node.
+        node: usize,
+        /// The host.
+        host: usize,
+        /// `up`, `draining` or `removed`.
+        health: String,
+    },
+    /// A process of a member says how it sees another.
+    View {
+        /// The node.
+        node: usize,
+        /// The other node's name.
+        of: usize,
+        /// `alive`, `suspect`, `dead`, `left`; `unknown` before it heard of it.
+        state: String,
+    },
+}
+
+impl Event {
+    /// A fault begins or ends.
+    pub fn fault(fault: &Planned, begins: bool) -> Self {
+        let list = |set: &BTreeSet<Actor>| set.iter().copied().collect();
+        let (on, from, to) = (list(&fault.on), list(&fault.from), list(&fault.to));
+        Event::Fault { kind: fault.kind, begins, on, from, to }
+    }
+}
+
+/// What becomes of a process.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Life {
+    /// It was started.
+    Started,
+    /// It answers the front.
+    Ready,
+    /// It was told to stop.
+    Stopping,
+    /// It was killed by the lab.
+    Killed,
+    /// It has ended.
+    Ended,
+    /// It stands still.
+    Paused,
+    /// It goes on.
+    Resumed,
+    /// A second one of the same node was started beside it.
+    Beside,
+    /// It was told to read its settings again.
+    Reloaded,
+}
+
+/// Where events go.
+pub struct History {
+    began: Instant,
+    file: RefCell<BufWriter<File>>,
+    failed: RefCell<Option<io::Error>>,
+}
+
+impl History {
+    /// A new file; its clock begins now.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        let file = RefCell::new(BufWriter::new(File::create(path)?));
+        Ok(History { began: Instant::now(), file, failed: RefCell::default() })
+    }
+
+    /// Seconds since the start.
+    pub fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    /// Writes what happens now.
+    pub fn add(&self, what: Event) {
+        self.add_at(self.now(), what);
+    }
+
+    /// Writes what happened at a time of the run.
+    pub fn add_at(&self, t: f64, what: Event) {
+        // Microseconds: more digits are noise.
+        let line = Line { t: (t * 1e6).round() / 1e6, what };
+        let mut file = self.file.borrow_mut();
+        let done = serde_json::to_writer(&mut *file, &line).map_err(io::Error::from);
+        if let Err(error) = done.and_then(|()| file.write_all(b"\n")) {
+            // A disk that is full must not pass for a run in which nothing happened.
+            self.failed.borrow_mut().get_or_insert(error);
+        }
+    }
+
+    /// Writes the last line; says whether all was written.
+    pub fn finish(&self) -> io::Result<()> {
+        self.add(Event::End {});
+        self.file.borrow_mut().flush()?;
+        self.failed.borrow_mut().take().map_or(Ok(()), Err)
+    }
+}
+
+/// Why a history can't be checked.
+#[derive(Debug, Error)]
+pub enum HistoryError {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    File(String, io::Error),
+    /// A line is none.
+    #[error("{0}:{1}: {2}")]
+    Line(String, usize, serde_json::Error),
+    /// Nothing tells what run it is.
+    #[error("{0}:1: no run stands in the first line")]
+    NoRun(String),
+    /// The last line is missing.
+    #[error("{0}:{1}: cut short: the last line is not the run's end")]
+    CutShort(String, usize),
+}
+
+/// Reads a whole history.
+pub fn read(path: &Path) -> Result<Vec<Line>, HistoryError> {
+    let file = path.display().to_string();
+    let open = File::open(path).map_err(|error| HistoryError::File(file.clone(), error))?;
+    let mut lines: Vec<Line> = Vec::new();
+    for (i, line) in BufReader::new(open).lines().enumerate() {
+        let line = line.map_err(|error| HistoryError::File(file.clone(), error))?;
+        let line = serde_json::from_str(&line).map_err(|e| HistoryError::Line(file.clone(), i + 1, e))?;
+        lines.push(line);
+    }
+    if !matches!(lines.first(), Some(Line { what: Event::Run { .. }, .. })) {
+        return Err(HistoryError::NoRun(file));
+    }
+    match lines.last() {
+        Some(Line { what: Event::End {}, .. }) => Ok(lines),
+        _ => Err(HistoryError::CutShort(file, lines.len())),
+    }
+}
--- /dev/null
+++ b/crates/alderstile-lab/src/processes/ways.rs
@@ -0,0 +1,317 @@
+//! The ways between processes: everything that one process sends another passes a forwarder of the lab, which is
+//! where faults of ways act.
+//!
+//! On streams a lost piece comes [`RETRANSMIT`] later, as the sender's system would send it again; nothing of a stream is
+//! doubled, overtaken or damaged, as no system would hand that on. While a way is cut bytes wait, ends and resets too, and new
+//! connections never come up: the forwarder's queue of connections is kept full, so that the system drops what knocks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::schedule::{Actor, Kind, Planned, Ways as Base};
+
+/// A lost piece of a stream comes this much later: the shortest retransmission time of common systems.
+const RETRANSMIT: Duration = Duration::from_millis(200);
+/// Pieces of a stream that wait while a way is late or cut.
+const PIECES: usize = 64;
+/// The longest piece of a stream.
+const PIECE: usize = 16 << 10;
+/// Connections that wait at a forwarder's door.
+const BACKLOG: i32 = 128;
+/// A connection that has not come up by then waits in vain: the door is full.
+const FULL: Duration = Duration::from_millis(40);
+
+/// What a way does now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Link {
+    /// Nothing passes.
+    pub cut: bool,
+    /// The share that is lost.
+    pub loss: f64,
+    /// How much later all comes, seconds.
+    pub delay_s: f64,
+    /// Up to so much later besides, seconds.
+    pub jitter_s: f64,
+    /// The share that comes twice.
+    pub duplicate: f64,
+    /// The share that is overtaken.
+    pub reorder: f64,
+    /// The share that is damaged.
+    pub damage: f64,
+}
+
+/// The faults of ways that hold now, without I/O: the emulated ways use it too.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    base: Base,
+    held: BTreeMap<usize, Planned>,
+}
+
+impl Faults {
+    /// No faults beyond these ways.
+    pub fn new(base: Base) -> Self {
+        Faults { base, held: BTreeMap::new() }
+    }
+
+    /// A fault begins, under a number of its own.
+    pub fn begin(&mut self, number: usize, fault: &Planned) {
+        if fault.kind == Kind::Heal {
+            self.held.clear();
+        } else {
+            self.held.insert(number, fault.clone());
+        }
+    }
+
+    /// It ends.
+    pub fn end(&mut self, number: usize) {
+        self.held.remove(&number);
+    }
+
+    /// What the way from one to the other does.
+    pub fn link(&self, from: Actor, to: Actor) -> Link {
+        let (delay_s, jitter_s) = (self.base.delay_ms / 1e3, self.base.jitter_ms / 1e3);
+        let mut link = Link { delay_s, jitter_s, loss: self.base.loss, ..Link::default() };
+        for fault in self.held.values() {
+            let forth = fault.from.contains(&from) && fault.to.contains(&to);
+            let back = fault.from.contains(&to) && fault.to.contains(&from);
+            if !(forth || (back && fault.kind == Kind::Cut)) {
+                continue;
+            }
+            match fault.kind {
+                Kind::Cut | Kind::CutOneWay => link.cut = true,
+                Kind::Loss => link.loss = 1.0 - (1.0 - link.loss) * (1.0 - fault.share),
+                Kind::Delay => link.delay_s += fault.ms / 1e3,
+                Kind::Jitter => link.jitter_s += fault.ms / 1e3,
+                Kind::Duplicate => link.duplicate = link.duplicate.max(fault.share),
+                Kind::Reorder => link.reorder = link.reorder.max(fault.share),
+                Kind::Damage => link.damage = link.damage.max(fault.share),
+                _ => {}
+            }
+        }
+        link
+    }
+}
+
+/// The ways of a run on processes.
+pub struct Ways {
+    faults: RefCell<Faults>,
+    rng: RefCell<Pcg64Mcg>,
+    changed: watch::Sender<()>,
+}
+
+impl Ways {
+    /// Ways without faults.
+    pub fn new(base: Base, seed: u64) -> Rc<Self> {
+        let rng = RefCell::new(Pcg64Mcg::seed_from_u64(seed));
+        Rc::new(Ways { faults: RefCell::new(Faults::new(base)), rng, changed: watch::Sender::new(()) })
+    }
+
+    /// Changes the faults that hold.
+    pub fn change(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.faults.borrow_mut());
+        self.changed.send_replace(());
+    }
+
+    /// What a way does now.
+    pub fn link(&self, from: Actor, to: Actor) -> Link {
+        self.faults.borrow().link(from, to)
+    }
+
+    fn chance(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// How much later something comes.
+    fn late(&self, link: &Link) -> Duration {
+        Duration::from_secs_f64(link.delay_s + link.jitter_s * self.chance())
+    }
+
+    /// Waits until something holds of the faults.
+    async fn until(&self, holds: impl Fn(&Self) -> bool) {
+        let mut changed = self.changed.subscribe();
+        while !holds(self) {
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn shut(&self, one: Actor, other: Actor) -> bool {
+        self.link(one, other).cut || self.link(other, one).cut
+    }
+}
+
+/// The door of one way for connections: who knocks at `at` is led to `target`, while there is one.
+pub struct Door {
+    /// Who knocks.
+    pub from: Actor,
+    /// Who is behind it.
+    pub to: Actor,
+    /// Where the door is.
+    pub at: SocketAddr,
+    /// Where it leads; nowhere while the process behind it is down: connections are refused.
+    pub target: watch::Receiver<Option<SocketAddr>>,
+}
+
+impl Door {
+    /// Opens the door and keeps it, until it is dropped.
+    pub async fn keep(mut self, ways: Rc<Ways>) -> io::Result<()> {
+        loop {
+            let Some(target) = *self.target.borrow_and_update() else {
+                if self.target.changed().await.is_err() {
+                    return Ok(());
+                }
+                continue;
+            };
+            let listener = TcpListener::bind(self.at).await?;
+            let led = async {
+                loop {
+                    if ways.shut(self.from, self.to) {
+                        let filled = jam(&listener, self.at).await?;
+                        ways.until(|ways| !ways.shut(self.from, self.to)).await;
+                        open(&listener, filled).await?;
+                    }
+                    let cut = ways.until(|ways| ways.shut(self.from, self.to));
+                    let stream = tokio::select! {
+                        accepted = listener.accept() => accepted?.0,
+                        () = cut => continue,
+                    };
+                    spawn_local(carry(ways.clone(), self.from, self.to, stream, target));
+                }
+            };
+            let moved = async {
+                while *self.target.borrow_and_update() == Some(target) {
+                    if self.target.changed().await.is_err() {
+                        // Nobody will ever move it.
+                        std::future::pending::<()>().await;
+                    }
+                }
+            };
+            let failed: io::Result<()> = tokio::select! { done = led => done, () = moved => Ok(()) };
+            failed?;
+        }
+    }
+}
+
+/// Fills the queue of a listener.
+async fn jam(listener: &TcpListener, at: SocketAddr) -> io::Result<Vec<TcpStream>> {
+    rustix::net::listen(listener, 0)?;
+    let mut filled = Vec::new();
+    while let Ok(Ok(stream)) = timeout(FULL, TcpStream::connect(at)).await {
+        filled.push(stream);
+    }
+    Ok(filled)
+}
+
+/// Empties it again; what else came through meanwhile is lost with it.
+async fn open(listener: &TcpListener, filled: Vec<TcpStream>) -> io::Result<()> {
+    rustix::net::listen(listener, BACKLOG)?;
+    let mut own: BTreeSet<SocketAddr> = filled.iter().filter_map(|stream| stream.local_addr().ok()).collect();
+    while !own.is_empty() {
+        match timeout(FULL, listener.accept()).await {
+            Ok(accepted) => own.remove(&accepted?.1),
+            Err(_) => break,
+        };
+    }
+    Ok(())
+}
+
+/// Carries one connection.
+async fn carry(ways: Rc<Ways>, from: Actor, to: Actor, inbound: TcpStream, target: SocketAddr) {
+    let Ok(outbound) = TcpStream::connect(target).await else {
+        // The process behind it went down in this moment.
+        inbound.set_zero_linger().unwrap_or_default();
+        return;
+    };
+    for stream in [&inbound, &outbound] {
+        stream.set_nodelay(true).unwrap_or_default();
+    }
+    let ((in_read, in_write), (out_read, out_write)) = (inbound.into_split(), outbound.into_split());
+    let broken = Cell::new(false);
+    let there = pump(&ways, from, to, in_read, out_write, &broken);
+    let back = pump(&ways, to, from, out_read, in_write, &broken);
+    // An end passes on by itself; a reset ends both directions.
+    tokio::pin!(there, back);
+    let (mut there_done, mut back_done) = (false, false);
+    while !(broken.get() || there_done && back_done) {
+        tokio::select! {
+            () = &mut there, if !there_done => there_done = true,
+            () = &mut back, if !back_done => back_done = true,
+        }
+    }
+}
+
+/// What passes a pump.
+enum Piece {
+    Bytes(Vec<u8>),
+    End,
+    Reset,
+}
+
+/// Carries one direction until its end; marks the connection as broken where it was reset.
+async fn pump(
+    ways: &Ways,
+    from: Actor,
+    to: Actor,
+    mut read: OwnedReadHalf,
+    mut write: OwnedWriteHalf,
+    broken: &Cell<bool>,
+) {
+    let (send, mut receive) = mpsc::channel(PIECES);
+    let reading = async {
+        let mut due = Instant::now();
+        loop {
+            let mut piece = vec![0; PIECE];
+            let piece = match read.read(&mut piece).await {
+                Ok(0) => Piece::End,
+                Ok(n) => {
+                    piece.truncate(n);
+                    Piece::Bytes(piece)
+                }
+                Err(_) => Piece::Reset,
+            };
+            let link = ways.link(from, to);
+            let lost = if ways.chance() < link.loss { RETRANSMIT } else { Duration::ZERO };
+            // A stream keeps its order.
+            due = due.max(Instant::now() + ways.late(&link) + lost);
+            let last = !matches!(piece, Piece::Bytes(_));
+            if send.send((due, piece)).await.is_err() || last {
+                break;
+            }
+        }
+        drop(send);
+    };
+    let writing = async {
+        while let Some((due, piece)) = receive.recv().await {
+            sleep_until(due).await;
+            ways.until(|ways| !ways.link(from, to).cut).await;
+            let done = match piece {
+                Piece::Bytes(bytes) => write.write_all(&bytes).await,
+                Piece::End => write.shutdown().await,
+                Piece::Reset => Err(io::ErrorKind::ConnectionReset.into()),
+            };
+            if done.is_err() {
+                broken.set(true);
+                write.as_ref().set_zero_linger().unwrap_or_default();
+                return;
+            }
+        }
+    };
+    tokio::join!(reading, writing);
+    if broken.get() {
+        read.as_ref().set_zero_linger().unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/alderstile-lab/src/schedule.rs
@@ -0,0 +1,639 @@
+//! Schedules: what a run consists of and which faults come when, as a TOML file.
+//!
+//! The format is described in `docs/lab.md`. A file is checked whole before anything runs; an error names the line
+//! and the key.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::Range;
+use std::path::Path;
+
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use toml::Spanned;
+
+/// Processes that one machine is asked to bear.
+pub const MOST_PROCESSES: usize = 20;
+/// Emulated nodes.
+pub const MOST_EMULATED: usize = 10_000;
+/// The longest run, seconds: a day.
+const LONGEST_S: f64 = 86_400.0;
+
+/// Why a schedule can't be played. Its text is for a person: file, line and key.
+#[derive(Debug, Error)]
+pub enum ScheduleError {
+    /// The file can't be read.
+    #[error("{file}: {error}")]
+    File {
+        /// Its path.
+        file: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// A key is unknown or has a value that can't be used.
+    #[error("{file}:{line}: {key}: {what}")]
+    Key {
+        /// The file's path.
+        file: String,
+        /// The line, from 1.
+        line: usize,
+        /// The key's path.
+        key: String,
+        /// What is wrong, and what is wanted.
+        what: String,
+    },
+}
+
+/// A schedule as it stands in the file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// What it shows, in a line.
+    pub title: String,
+    /// For all that is drawn.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long clients come, seconds.
+    pub length_s: Spanned<f64>,
+    /// The nodes.
+    pub nodes: Nodes,
+    /// The hosts, of runs on processes.
+    #[serde(default)]
+    pub hosts: Hosts,
+    /// The clients, of runs on processes.
+    #[serde(default)]
+    pub clients: Vec<Spanned<Clients>>,
+    /// The ways between all parties, before faults.
+    #[serde(default)]
+    pub ways: Ways,
+    /// The time line.
+    #[serde(default)]
+    pub faults: Vec<Spanned<Fault>>,
+}
+
+/// The nodes of a run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nodes {
+    /// How many.
+    pub count: Spanned<usize>,
+    /// Names of the zones; node and host number i are in zone i modulo their number.
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+}
+
+/// The hosts of a run.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Hosts {
+    /// How many.
+    pub count: usize,
+    /// How long a host takes to set a connection up, milliseconds.
+    pub setup_ms: f64,
+    /// How long discovery takes to tell of a change, milliseconds.
+    pub told_after_ms: f64,
+}
+
+impl Default for Hosts {
+    fn default() -> Self {
+        Hosts { count: 0, setup_ms: 1.0, told_after_ms: 300.0 }
+    }
+}
+
+/// Clients of one class, each of which comes again when its connection has ended.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// The class's name.
+    pub class: String,
+    /// Whether a request may be repeated.
+    pub semantics: Semantics,
+    /// How many.
+    pub count: usize,
+    /// How long a connection is wanted, seconds, in the mean.
+    #[serde(default = "three")]
+    pub hold_s: f64,
+    /// How long a client rests before it comes again, seconds, in the mean.
+    #[serde(default = "half")]
+    pub rest_s: f64,
+    /// How long it waits for its answer, milliseconds.
+    #[serde(default = "two_seconds")]
+    pub wait_ms: u64,
+}
+
+/// Whether a request may be repeated.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Semantics {
+    /// At will.
+    Retryable,
+    /// It may run once at most.
+    Fragile,
+}
+
+/// What every way does before faults.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Ways {
+    /// One way, milliseconds.
+    pub delay_ms: f64,
+    /// Up to so much more, drawn for each datagram or piece of a stream, milliseconds.
+    pub jitter_ms: f64,
+    /// The share of datagrams that is lost.
+    pub loss: f64,
+}
+
+/// One fault of the time line.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When it begins, seconds from the start.
+    pub at_s: f64,
+    /// How long it lasts; without, to the end of the run.
+    pub for_s: Option<f64>,
+    /// What it is.
+    pub kind: Kind,
+    /// Whom it hits: `n3`, `h2`, `zone:a`, `share:0.3`, `nodes`, `hosts`.
+    #[serde(default)]
+    pub on: Vec<String>,
+    /// For ways: from whom; also `clients` and `discovery`. Without, from all.
+    #[serde(default)]
+    pub from: Vec<String>,
+    /// For ways: to whom. Without, to all.
+    #[serde(default)]
+    pub to: Vec<String>,
+    /// For loss, duplicates, reordering and damage: the share of datagrams.
+    pub share: Option<f64>,
+    /// For delay, jitter, slow hosts and late lists: milliseconds.
+    pub ms: Option<f64>,
+    /// For `list_leaves_out` and `list_lies`: which hosts.
+    #[serde(default)]
+    pub hosts: Vec<String>,
+}
+
+/// What kind of fault.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A process ends at once; it starts again after `for_s`, where given.
+    Kill,
+    /// A process is told to stop; it starts again `for_s` after it was told, where given.
+    Stop,
+    /// A second process of the same node takes over.
+    Replace,
+    /// The process reads another settings file.
+    Reload,
+    /// The process stands still.
+    Pause,
+    /// Nothing passes either way.
+    Cut,
+    /// Nothing passes from `from` to `to`.
+    CutOneWay,
+    /// A share of datagrams is lost; a piece of a stream comes 200 ms later instead.
+    Loss,
+    /// All comes later.
+    Delay,
+    /// Comes later by a drawn time.
+    Jitter,
+    /// A share of datagrams comes twice.
+    Duplicate,
+    /// A share of datagrams is overtaken by later ones.
+    Reorder,
+    /// A share of datagrams has a byte changed.
+    Damage,
+    /// All faults of ways end.
+    Heal,
+    /// Changes of the list come later.
+    ListLate,
+    /// The list leaves hosts out.
+    ListLeavesOut,
+    /// The list calls running hosts draining.
+    ListLies,
+    /// Discovery turns calls away.
+    ListRefuses,
+    /// A host ends at once; after `for_s` it runs again and is cold.
+    HostKill,
+    /// A host is listed as draining, ends after `for_s`, and runs again, cold, a second later.
+    HostDrain,
+    /// A host takes that much longer for everything.
+    HostSlow,
+    /// A host says nothing.
+    HostSilent,
+    /// A host turns new connections away.
+    HostRefuse,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // A unit variant's form is its name in quotes.
+        let text = serde_json::to_string(self).map_err(|_| fmt::Error)?;
+        f.write_str(text.trim_matches('"'))
+    }
+}
+
+/// What a kind of fault is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum About {
+    /// Processes of nodes.
+    Process,
+    /// Ways.
+    Way,
+    /// What nodes are listed.
+    List,
+    /// Hosts.
+    Host,
+}
+
+impl Kind {
+    /// What it is about.
+    pub fn about(self) -> About {
+        use Kind::*;
+        match self {
+            Kill | Stop | Replace | Reload | Pause => About::Process,
+            Cut | CutOneWay | Loss | Delay | Jitter | Duplicate | Reorder | Damage | Heal => About::Way,
+            ListLate | ListLeavesOut | ListLies | ListRefuses => About::List,
+            HostKill | HostDrain | HostSlow | HostSilent | HostRefuse => About::Host,
+        }
+    }
+
+    fn wants_share(self) -> bool {
+        matches!(self, Kind::Loss | Kind::Duplicate | Kind::Reorder | Kind::Damage)
+    }
+
+    fn wants_ms(self) -> bool {
+        matches!(self, Kind::Delay | Kind::Jitter | Kind::ListLate | Kind::HostSlow)
+    }
+
+    fn wants_span(self) -> bool {
+        matches!(self, Kind::Pause | Kind::HostDrain)
+    }
+}
+
+/// A party of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub enum Actor {
+    /// A node, from 0.
+    Node(usize),
+    /// A host, from 0.
+    Host(usize),
+    /// The list's service.
+    Discovery,
+    /// All clients.
+    Clients,
+}
+
+impl fmt::Display for Actor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Actor::Node(n) => write!(f, "n{n}"),
+            Actor::Host(h) => write!(f, "h{h}"),
+            Actor::Discovery => f.write_str("discovery"),
+            Actor::Clients => f.write_str("clients"),
+        }
+    }
+}
+
+impl From<Actor> for String {
+    fn from(actor: Actor) -> Self {
+        actor.to_string()
+    }
+}
+
+impl TryFrom<String> for Actor {
+    type Error = String;
+    fn try_from(text: String) -> Result<Self, String> {
+        let number = |rest: &str| rest.parse().ok();
+        let of = |text: &str| match text {
+            "discovery" => Some(Actor::Discovery),
+            "clients" => Some(Actor::Clients),
+            _ => {
+                let node = text.strip_prefix('n').and_then(number).map(Actor::Node);
+                node.or_else(|| text.strip_prefix('h').and_then(number).map(Actor::Host))
+            }
+        };
+        of(&text).ok_or_else(|| format!("{text:?} names no party"))
+    }
+}
+
+/// A fault with its targets drawn.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    /// When it begins, seconds.
+    pub at_s: f64,
+    /// How long it lasts, seconds.
+    pub for_s: Option<f64>,
+    /// What it is.
+    pub kind: Kind,
+    /// Whom it hits.
+    pub on: BTreeSet<Actor>,
+    /// For ways, from whom.
+    pub from: BTreeSet<Actor>,
+    /// For ways, to whom.
+    pub to: BTreeSet<Actor>,
+    /// See [`Fault::share`].
+    pub share: f64,
+    /// See [`Fault::ms`].
+    pub ms: f64,
+    /// See [`Fault::hosts`].
+    pub hosts: BTreeSet<Actor>,
+}
+
+/// A schedule that has been checked, with everything drawn that a seed decides.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// What it shows.
+    pub title: String,
+    /// The seed.
+    pub seed: u64,
+    /// How long clients come, seconds.
+    pub length_s: f64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// The hosts.
+    pub hosts: Hosts,
+    /// The clients.
+    pub clients: Vec<Clients>,
+    /// The ways before faults.
+    pub ways: Ways,
+    /// The time line, by time.
+    pub faults: Vec<Planned>,
+}
+
+fn one() -> u64 {
+    1
+}
+fn one_zone() -> Vec<String> {
+    vec!["a".to_owned()]
+}
+fn three() -> f64 {
+    3.0
+}
+fn half() -> f64 {
+    0.5
+}
+fn two_seconds() -> u64 {
+    2_000
+}
+
+/// Where in a file an error is.
+struct Text<'a> {
+    file: &'a str,
+    text: &'a str,
+}
+
+impl Text<'_> {
+    /// An error at a place of the text. The line named is that of `key` behind the place, where it stands there.
+    fn error(&self, span: Range<usize>, key: &str, what: impl Into<String>) -> ScheduleError {
+        let start = span.start.min(self.text.len());
+        let word = key.rsplit('.').next().unwrap_or_default();
+        // A table's span is its head alone; it goes on to the next one.
+        let lines = self.text.get(start..).unwrap_or_default().lines().enumerate();
+        let mut table = lines.take_while(|(i, line)| *i == 0 || !line.starts_with('['));
+        let within = table.find(|(_, line)| line.trim_start().starts_with(word)).map_or(0, |(i, _)| i);
+        let line = self.text.get(..start).unwrap_or_default().matches('\n').count() + 1 + within;
+        ScheduleError::Key { file: self.file.to_owned(), line, key: key.to_owned(), what: what.into() }
+    }
+}
+
+impl Plan {
+    /// Reads and checks a file. `seed` stands above the file's.
+    pub fn load(path: &Path, seed: Option<u64>) -> Result<Self, ScheduleError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ScheduleError::File { file: file.clone(), error })?;
+        Self::parse(&file, &text, seed)
+    }
+
+    /// Checks a text.
+    pub fn parse(file: &str, text: &str, seed: Option<u64>) -> Result<Self, ScheduleError> {
+        let at = Text { file, text };
+        let schedule: Schedule = toml::from_str(text).map_err(|error| {
+            let span = error.span().unwrap_or_default();
+            let word = text.get(span.clone()).unwrap_or_default().lines().next().unwrap_or_default();
+            at.error(span, word.trim(), error.message())
+        })?;
+        let seed = seed.unwrap_or(schedule.seed);
+        let length_s = *schedule.length_s.get_ref();
+        if !(length_s > 0.0 && length_s <= LONGEST_S) {
+            return Err(at.error(
+                schedule.length_s.span(),
+                "length_s",
+                "more than 0 and at most a day is wanted",
+            ));
+        }
+        let count = *schedule.nodes.count.get_ref();
+        if count == 0 || count > MOST_EMULATED {
+            let what = format!("1 to {MOST_EMULATED} are wanted");
+            return Err(at.error(schedule.nodes.count.span(), "nodes.count", what));
+        }
+        if schedule.nodes.zones.is_empty() {
+            return Err(at.error(schedule.nodes.count.span(), "nodes.zones", "at least one zone is wanted"));
+        }
+        for (i, clients) in schedule.clients.iter().enumerate() {
+            let (span, clients) = (clients.span(), clients.get_ref());
+            let key = |name: &str| format!("clients[{i}].{name}");
+            let times = [("hold_s", clients.hold_s), ("rest_s", clients.rest_s)];
+            if let Some((name, _)) = times.into_iter().find(|(_, s)| !(*s > 0.0 && *s <= LONGEST_S)) {
+                return Err(at.error(span, &key(name), "seconds above 0 are wanted"));
+            }
+            if clients.wait_ms == 0 || clients.wait_ms > 60_000 {
+                return Err(at.error(span, &key("wait_ms"), "1 to 60000 is wanted"));
+            }
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let parties = Parties { nodes: count, hosts: schedule.hosts.count, zones: &schedule.nodes.zones };
+        let mut faults = Vec::new();
+        for (i, fault) in schedule.faults.iter().enumerate() {
+            let span = fault.span();
+            let bad = |key: &str, what: String| at.error(span.clone(), &format!("faults[{i}].{key}"), what);
+            faults.push(
+                plan(fault.get_ref(), &parties, length_s, &mut rng).map_err(|(key, what)| bad(key, what))?,
+            );
+        }
+        if let Some((i, key, what)) = contradiction(&faults) {
+            return Err(at.error(schedule.faults[i].span(), &format!("faults[{i}].{key}"), what));
+        }
+        faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        Ok(Plan {
+            title: schedule.title,
+            seed,
+            length_s,
+            nodes: count,
+            zones: schedule.nodes.zones,
+            hosts: schedule.hosts,
+            clients: schedule.clients.into_iter().map(Spanned::into_inner).collect(),
+            ways: schedule.ways,
+            faults,
+        })
+    }
+
+    /// The zone of a party, by its number; clients and discovery are in none.
+    pub fn zone(&self, actor: Actor) -> Option<usize> {
+        match actor {
+            Actor::Node(n) | Actor::Host(n) => Some(n % self.zones.len()),
+            Actor::Discovery | Actor::Clients => None,
+        }
+    }
+}
+
+/// Who there is.
+struct Parties<'a> {
+    nodes: usize,
+    hosts: usize,
+    zones: &'a [String],
+}
+
+impl Parties<'_> {
+    /// Those that a word names.
+    fn named(&self, word: &str, rng: &mut Pcg64Mcg) -> Result<Vec<Actor>, String> {
+        let nodes = || (0..self.nodes).map(Actor::Node);
+        let hosts = || (0..self.hosts).map(Actor::Host);
+        match word.split_once(':') {
+            Some(("zone", zone)) => {
+                let zone = self.zones.iter().position(|name| name == zone);
+                let zone = zone.ok_or_else(|| format!("{word:?}: no such zone"))?;
+                let within = |n: usize| n % self.zones.len() == zone;
+                Ok(nodes()
+                    .chain(hosts())
+                    .filter(|actor| matches!(actor, Actor::Node(n) | Actor::Host(n) if within(*n)))
+                    .collect())
+            }
+            Some(("share", share)) => {
+                let share: Option<f64> = share.parse().ok().filter(|share| (0.0..=1.0).contains(share));
+                let share = share.ok_or_else(|| format!("{word:?}: a share from 0 to 1 is wanted"))?;
+                let mut drawn: Vec<Actor> = nodes().collect();
+                drawn.shuffle(rng);
+                drawn.truncate((share * self.nodes as f64).round() as usize);
+                Ok(drawn)
+            }
+            Some(_) => Err(format!("{word:?}: zone:NAME or share:0.3 is wanted")),
+            None if word == "nodes" => Ok(nodes().collect()),
+            None if word == "hosts" => Ok(hosts().collect()),
+            None => match Actor::try_from(word.to_owned())? {
+                Actor::Node(n) if n >= self.nodes => {
+                    Err(format!("there are nodes n0 to n{}", self.nodes - 1))
+                }
+                Actor::Host(h) if h >= self.hosts => {
+                    Err(format!("there are {} hosts, from h0 on", self.hosts))
+                }
+                actor => Ok(vec![actor]),
+            },
+        }
+    }
+
+    fn all_named(&self, words: &[String], rng: &mut Pcg64Mcg) -> Result<BTreeSet<Actor>, String> {
+        words.iter().try_fold(BTreeSet::new(), |mut set, word| {
+            set.extend(self.named(word, rng)?);
+            Ok(set)
+        })
+    }
+
+    fn everyone(&self) -> BTreeSet<Actor> {
+        let nodes = (0..self.nodes).map(Actor::Node);
+        nodes.chain((0..self.hosts).map(Actor::Host)).chain([Actor::Discovery, Actor::Clients]).collect()
+    }
+}
+
+type Bad = (&'static str, String);
+
+fn plan(fault: &Fault, parties: &Parties, length_s: f64, rng: &mut Pcg64Mcg) -> Result<Planned, Bad> {
+    let kind = fault.kind;
+    let about = kind.about();
+    if !(0.0..=length_s).contains(&fault.at_s) {
+        return Err(("at_s", format!("0 to length_s ({length_s}) is wanted")));
+    }
+    if fault.for_s.is_some_and(|s| !(s > 0.0 && s <= LONGEST_S)) {
+        return Err(("for_s", "seconds above 0 are wanted".to_owned()));
+    }
+    if kind.wants_span() && fault.for_s.is_none() {
+        return Err(("for_s", format!("{kind} needs it")));
+    }
+    if kind.wants_share() != fault.share.is_some() {
+        return Err((
+            "share",
+            if fault.share.is_none() { format!("{kind} needs it") } else { format!("not for {kind}") },
+        ));
+    }
+    if fault.share.is_some_and(|share| !(0.0..=1.0).contains(&share)) {
+        return Err(("share", "a share from 0 to 1 is wanted".to_owned()));
+    }
+    if kind.wants_ms() != fault.ms.is_some() {
+        return Err((
+            "ms",
+            if fault.ms.is_none() { format!("{kind} needs it") } else { format!("not for {kind}") },
+        ));
+    }
+    if fault.ms.is_some_and(|ms| !(0.0..=600_000.0).contains(&ms)) {
+        return Err(("ms", "0 to 600000 is wanted".to_owned()));
+    }
+    let mut named = |key, words: &[String]| parties.all_named(words, rng).map_err(|what| (key, what));
+    let (on, from, to) = (named("on", &fault.on)?, named("from", &fault.from)?, named("to", &fault.to)?);
+    let hosts = named("hosts", &fault.hosts)?;
+    let wanted = |actor: &Actor| match about {
+        About::Process | About::List => matches!(actor, Actor::Node(_)),
+        About::Host => matches!(actor, Actor::Host(_)),
+        About::Way => false,
+    };
+    if about == About::Way {
+        if !on.is_empty() {
+            return Err(("on", format!("{kind} is about ways: from and to are wanted")));
+        }
+    } else {
+        if !from.is_empty() || !to.is_empty() {
+            return Err((
+                if from.is_empty() { "to" } else { "from" },
+                format!("{kind} is not about ways: on is wanted"),
+            ));
+        }
+        if on.is_empty() {
+            return Err(("on", format!("{kind} hits nobody")));
+        }
+    }
+    // A zone names nodes and hosts: a fault takes those that it is about.
+    let (named, on): (usize, BTreeSet<Actor>) = (on.len(), on.into_iter().filter(wanted).collect());
+    if named > 0 && on.is_empty() {
+        let what = if about == About::Host { "hosts" } else { "nodes" };
+        return Err(("on", format!("{kind} is about {what}, and none is named")));
+    }
+    let lists = matches!(kind, Kind::ListLeavesOut | Kind::ListLies);
+    if lists == hosts.is_empty() {
+        return Err(("hosts", if lists { format!("{kind} needs them") } else { format!("not for {kind}") }));
+    }
+    if hosts.iter().any(|actor| !matches!(actor, Actor::Host(_))) {
+        return Err(("hosts", "hosts are wanted: h0, hosts".to_owned()));
+    }
+    let or_all = |set: BTreeSet<Actor>| if set.is_empty() { parties.everyone() } else { set };
+    let (from, to) = if about == About::Way { (or_all(from), or_all(to)) } else { (from, to) };
+    let (share, ms) = (fault.share.unwrap_or(0.0), fault.ms.unwrap_or(0.0));
+    Ok(Planned { at_s: fault.at_s, for_s: fault.for_s, kind, on, from, to, share, ms, hosts })
+}
+
+/// Faults that can't both be: a party that is away is told to do something else.
+fn contradiction(faults: &[Planned]) -> Option<(usize, &'static str, String)> {
+    let away = |fault: &Planned| {
+        matches!(
+            fault.kind,
+            Kind::Kill | Kind::Stop | Kind::Pause | Kind::Replace | Kind::HostKill | Kind::HostDrain
+        )
+    };
+    let until = |fault: &Planned| {
+        let longest = if fault.kind == Kind::Replace { 0.0 } else { f64::INFINITY };
+        fault.at_s + fault.for_s.unwrap_or(longest)
+    };
+    for (i, later) in faults.iter().enumerate().filter(|(_, fault)| away(fault)) {
+        for earlier in faults.iter().enumerate().filter(|(j, f)| *j != i && away(f)).map(|(_, f)| f) {
+            let both = earlier.on.intersection(&later.on).next();
+            if let Some(actor) = both.filter(|_| (earlier.at_s..until(earlier)).contains(&later.at_s)) {
+                let what = format!("{actor} is already under {} then", earlier.kind);
+                return Some((i, "on", what));
+            }
+        }
+    }
+    None
+}
