No file of the node stands in a circle: lists, hellos, links and sides have files of their own

Eight files formed a circle round node.rs. Pure words (list, hello) and what several jobs share (link, side) move out; pass is given what goes on with a connection by main; config names no running part.

--- a/crates/alderstile-node/src/admin.rs
+++ b/crates/alderstile-node/src/admin.rs
@@ -19,10 +19,9 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
+use crate::config::CALLERS;
 use crate::node::Node;
 
-/// Callers at once; their descriptors are kept for them.
-pub const PLACES: usize = 8;
 /// Who has finished no call after this long goes: a caller waits no longer than 1 s.
 const CALL: Duration = Duration::from_secs(2);
 /// The longest head of a call; the least that hyper can be given.
@@ -41,7 +40,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 callers.retain(|caller| !caller.is_finished());
-                if callers.len() >= PLACES
+                if callers.len() >= CALLERS
                     && let Some(oldest) = callers.pop_front()
                 {
                     oldest.abort();
--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -11,8 +11,13 @@
 use serde_json::{Map, Value};
 use thiserror::Error;
 
-use crate::discovery::List;
-use crate::upgrade::Hello;
+use crate::hello::Hello;
+use crate::list::List;
+
+/// Descriptors that are no connections of clients or to hosts: the runtime's, the listeners, discovery, peers, logs.
+const OWN_DESCRIPTORS: usize = 24;
+/// Callers at the operators' address at once; their descriptors are kept for them.
+pub const CALLERS: usize = 8;
 
 /// Descriptors that a node may hold where nothing else is said.
 const SOCKETS: usize = 1024;
@@ -130,6 +135,11 @@
         Self::of_file(Self::read(path, &env)?, env)
     }
 
+    /// Descriptors that are kept for the node itself.
+    pub fn own_descriptors(&self) -> usize {
+        OWN_DESCRIPTORS + self.admin_addr.map_or(0, |_| CALLERS)
+    }
+
     /// Reads a file; none named means the one that the environment names.
     pub fn read(path: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Result<Value, ConfigError> {
         let path = path.map(Path::to_path_buf).or_else(|| env("ROUTER_CONFIG").map(Into::into));
--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -1,21 +1,20 @@
 //! The server list: read from discovery's answers, watched for changes.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use alderstile::interface::{ListKind, Micros, ServerEntry, ServerId, ServerState};
+use alderstile::interface::ListKind;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at};
 
+use crate::list::List;
 use crate::node::Node;
 
 /// How long a call may take until its answer begins.
@@ -25,87 +24,6 @@
 /// The longest list that is read: far above any real one, and a bound on what a wrong answer can cost.
 const MAX_LIST: usize = 16 << 20;
 
-/// A list of servers, or the changes of one.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct List {
-    /// Its version.
-    pub seq: u64,
-    /// It names all servers.
-    pub whole: bool,
-    /// The servers.
-    pub hosts: Vec<Host>,
-}
-
-/// One server of a list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Host {
-    /// Its name, the same at every node.
-    pub host: String,
-    /// Where this node reaches it; a removed one may have none.
-    #[serde(default)]
-    pub dial: Option<SocketAddr>,
-    /// Its zone by its name.
-    #[serde(default)]
-    pub site: String,
-    /// Its cell.
-    #[serde(default)]
-    pub block: u16,
-    /// Whether it may be sent new work.
-    pub health: Health,
-    /// Its weight.
-    #[serde(default)]
-    pub share: f64,
-    /// When it last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: u64,
-}
-
-/// A server's state.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    /// It may be sent new work.
-    Up,
-    /// It finishes what it has.
-    Draining,
-    /// It is no more.
-    Removed,
-}
-
-impl List {
-    /// Reads a list.
-    pub fn from_value(value: serde_json::Value) -> Result<Self, serde_json::Error> {
-        serde_json::from_value(value)
-    }
-
-    /// As the decisions want it. A zone that the settings do not name is none of theirs.
-    pub fn entries(&self, zones: &[String]) -> Vec<ServerEntry> {
-        let zone =
-            |site: &str| zones.iter().position(|zone| zone == site).and_then(|i| u16::try_from(i).ok());
-        self.hosts
-            .iter()
-            .map(|host| ServerEntry {
-                id: server_id(&host.host),
-                zone: zone(&host.site).unwrap_or(u16::MAX),
-                cell: host.block,
-                state: match host.health {
-                    Health::Up => ServerState::Ready,
-                    Health::Draining => ServerState::Draining,
-                    Health::Removed => ServerState::Gone,
-                },
-                weight: host.share,
-                started: (host.born_ms > 0).then(|| Micros::from_millis(host.born_ms)),
-            })
-            .collect()
-    }
-}
-
-/// The number of a server: the same at all nodes and at every start, as groups begin alike by it (FNV-1a).
-pub fn server_id(host: &str) -> ServerId {
-    let mix = |id: u64, byte: u8| (id ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
-}
-
 /// Why a watch ended.
 #[derive(Debug, Error)]
 enum WatchError {
--- /dev/null
+++ b/crates/alderstile-node/src/hello.rs
@@ -0,0 +1,35 @@
+//! What a process tells the one that takes over from it; pure.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::kept::Stand;
+use crate::list::List;
+
+/// What the predecessor tells first.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Hello {
+    /// The form of all lines.
+    pub version: u32,
+    /// The node's name.
+    pub name: String,
+    /// The file in force, but for the list known.
+    pub config: Value,
+    /// Where discovery is.
+    pub discovery: Option<SocketAddr>,
+    /// The server list, whole.
+    pub list: List,
+    /// Where hosts stand that operators have named.
+    pub hosts: BTreeMap<String, Stand>,
+    /// Ids of requests that are open, or have ended not long ago.
+    pub ids: Vec<String>,
+    /// Descriptors held.
+    pub held: usize,
+    /// Further attempts and requests taken, counted in parts of the span of their budget: the ages of a part's first and
+    /// last event in microseconds, requests, attempts. Nothing where that is not known: a process of an older version.
+    #[serde(default)]
+    pub spent: Option<Vec<(u64, u64, u32, u32)>>,
+}
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -8,7 +8,7 @@
 use alderstile_node::config::Config;
 use alderstile_node::node::Node;
 use alderstile_node::peers::{Peers, Way};
-use alderstile_node::{admin, discovery, listener, pass, reload, shutdown, upgrade};
+use alderstile_node::{admin, discovery, listener, pass, reload, session, shutdown, upgrade};
 use lexopt::{Arg, Parser, ValueExt};
 use log::{error, info, warn};
 use tokio::net::TcpListener;
@@ -117,7 +117,10 @@
     }
     match pass::receiver(&node.config()) {
         Ok(from) => from.into_iter().for_each(|from| {
-            spawn_local(pass::receive(node.clone(), from));
+            let going = node.clone();
+            let go_on =
+                move |passed, sockets| drop(spawn_local(session::resume(going.clone(), passed, sockets)));
+            spawn_local(pass::receive(node.clone(), from, go_on));
         }),
         Err(error) => warn!("connections can't be passed on to this process: {error}"),
     }
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -14,18 +14,15 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::admin;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::{Counters, Gauges};
-use crate::discovery::{Health, Host, List, server_id};
+use crate::hello::Hello;
 use crate::kept::{Kept, Stand};
+use crate::link::{Link, WORD};
+use crate::list::{Health, Host, List, server_id};
 use crate::lobby::Lobby;
 use crate::reason::Reason;
-use crate::upgrade::{Hello, Link, WORD};
-
-/// Descriptors that are no connections of clients or to hosts: the runtime's, the listeners, discovery, peers, logs.
-const OWN_DESCRIPTORS: usize = 24;
 
 /// Ids of ended requests that are still known: a repeated one comes within moments. At most 4 MB, at 4 KiB a line.
 const ENDED_IDS: usize = 1024;
@@ -159,7 +156,7 @@
         let mut counters = Counters::default();
         counters.classes(&config.classes);
         let node = Node {
-            lobby: Lobby::new(config.sockets.saturating_sub(own_descriptors(&config))),
+            lobby: Lobby::new(config.sockets.saturating_sub(config.own_descriptors())),
             discovery: Cell::new(config.discovery),
             config: RefCell::new(Rc::new(config)),
             clock,
@@ -487,7 +484,7 @@
 
     /// Descriptors held by this process, or kept for it.
     pub fn held(&self) -> usize {
-        self.descriptors.get() + own_descriptors(&self.config())
+        self.descriptors.get() + self.config().own_descriptors()
     }
 
     /// A request is taken from now on, until what is returned is dropped.
@@ -589,11 +586,6 @@
     }
 }
 
-/// Descriptors that are kept for the node itself.
-fn own_descriptors(config: &Config) -> usize {
-    OWN_DESCRIPTORS + config.admin_addr.map_or(0, |_| admin::PLACES)
-}
-
 /// Sleeps until a moment; for ever where there is none.
 pub async fn sleep_until(moment: Option<Instant>) {
     match moment {
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/pass.rs
@@ -17,14 +17,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::Interest;
 use tokio::net::UnixDatagram;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::config::Config;
-use crate::discovery::server_id;
+use crate::list::server_id;
 use crate::node::Node;
 use crate::relay::Carried;
-use crate::session;
 
 /// The longest datagram: two buffers and a line, each of 4 KiB at most, with every byte written as a number.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -112,15 +110,15 @@
 }
 
 /// Takes connections in until the process before has ended. Nobody is to find the way after that: this process would
-/// pass connections on to itself.
-pub async fn receive(node: Rc<Node>, from: UnixDatagram) {
+/// pass connections on to itself. `go_on` is given each connection and its two sockets.
+pub async fn receive(node: Rc<Node>, from: UnixDatagram, go_on: impl Fn(Passed, Vec<TcpStream>)) {
     let ended = async {
         node.alone.notified().await;
         // What it sent last may not be read yet.
         tokio::time::sleep(READ).await;
     };
     tokio::select! {
-        () = take_in(&node, &from) => {}
+        () = take_in(&node, &from, go_on) => {}
         () = ended => {}
     }
     let config = node.config();
@@ -130,7 +128,7 @@
     }
 }
 
-async fn take_in(node: &Rc<Node>, from: &UnixDatagram) {
+async fn take_in(node: &Node, from: &UnixDatagram, go_on: impl Fn(Passed, Vec<TcpStream>)) {
     let mut data = vec![0; MAX_DATAGRAM];
     let mut taken: u64 = 0;
     loop {
@@ -154,8 +152,7 @@
                     if taken == 1 {
                         info!("connections are passed on to this process");
                     }
-                    let sockets = sockets.into_iter().map(TcpStream::from).collect();
-                    spawn_local(session::resume(node.clone(), passed, sockets));
+                    go_on(passed, sockets.into_iter().map(TcpStream::from).collect());
                 }
                 (Ok(Parcel::Door), 1) => node.shared_door(sockets.into_iter().map(TcpListener::from).next()),
                 (Ok(_), number) => warn!("passed on with {number} sockets"),
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::node::{Mover, Node, sleep_until};
 use crate::protocol::{HostLine, host_line};
 use crate::reason::Reason;
-use crate::session::{Pulled, Side};
+use crate::side::{Pulled, Side};
 
 /// A client whose lines have brought nothing back for this long is told to move: keep-alive does not see silence.
 /// Guards also against a host that stops right after an answer: that shows with the client's next line only, up to 2 s
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -11,15 +11,16 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-use crate::buffer::{LineBuffer, MAX_LINE};
+use crate::buffer::LineBuffer;
 use crate::counters::Ended;
-use crate::discovery::server_id;
+use crate::list::server_id;
 use crate::lobby::Guest;
 use crate::node::{Counted, HostAt, Node, OpenId};
 use crate::pass::{self, Passed};
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
 use crate::relay::{self, Carried, Ending};
+use crate::side::{Pulled, Side};
 
 /// A client that has sent no whole first line after this long is none: it is owed a word or a close within 3 s.
 const FIRST_LINE: Duration = Duration::from_secs(2);
@@ -29,119 +30,8 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A connection that stood before this node's start is tried again this often where its host cannot be reached.
 const STANDING_RETRY: Duration = Duration::from_millis(250);
-/// How long an answer may wait for a client to take it.
-const ANSWER: Duration = Duration::from_millis(500);
-/// How long the node waits for the other side to end once it has said all: ending with bytes unread resets, and that
-/// can destroy what was said.
-const LINGER: Duration = Duration::from_millis(500);
 /// Bytes of a first line turned away that are logged.
 const LOGGED: usize = 120;
-/// Bytes that are read and dropped meanwhile: who sends without end is cut off.
-const DRAIN: usize = 1 << 18;
-
-/// A connection and the bytes that came on it.
-pub struct Side {
-    /// The connection.
-    pub stream: TcpStream,
-    /// What came and has not gone on.
-    pub buffer: LineBuffer,
-}
-
-/// What reading brought.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pulled {
-    /// Bytes.
-    Some,
-    /// Nothing now.
-    Nothing,
-    /// The other side has ended its sending.
-    Ended,
-    /// The connection broke.
-    Reset,
-    /// A line is too long.
-    Overlong,
-}
-
-impl Side {
-    /// A connection on which nothing has come yet.
-    pub fn new(stream: TcpStream) -> Self {
-        // Lines are short and wanted at once. A connection that can't be set so is broken and will say so.
-        stream.set_nodelay(true).unwrap_or_default();
-        Side { stream, buffer: LineBuffer::default() }
-    }
-
-    /// Reads what is there; the lines that became whole go to `seen`.
-    pub fn pull(&mut self, seen: impl FnOnce(&[u8])) -> Pulled {
-        let room = match self.buffer.room() {
-            Ok([]) => return Pulled::Nothing,
-            Ok(room) => room,
-            Err(_) => return Pulled::Overlong,
-        };
-        match self.stream.try_read(room) {
-            Ok(0) => Pulled::Ended,
-            Ok(count) => {
-                seen(self.buffer.filled(count));
-                Pulled::Some
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Pulled::Nothing,
-            Err(_) => Pulled::Reset,
-        }
-    }
-
-    /// Waits until a whole line is there.
-    async fn line(&mut self) -> Result<(), Pulled> {
-        while self.buffer.line().is_none() {
-            self.more().await?;
-        }
-        Ok(())
-    }
-
-    /// Waits until more bytes have come.
-    async fn more(&mut self) -> Result<(), Pulled> {
-        loop {
-            if self.stream.readable().await.is_err() {
-                return Err(Pulled::Reset);
-            }
-            match self.pull(|_| {}) {
-                Pulled::Some => return Ok(()),
-                // Woken for nothing, or there is no room while the client must wait.
-                Pulled::Nothing if self.buffer.has_room() => {}
-                Pulled::Nothing => std::future::pending().await,
-                ended => return Err(ended),
-            }
-        }
-    }
-
-    /// Says a last line, ends the sending, and gives the other side a moment to end too.
-    pub async fn close_with(mut self, line: &[u8]) {
-        let said = timeout(ANSWER, async {
-            self.stream.write_all(line).await?;
-            self.stream.shutdown().await
-        });
-        if !matches!(said.await, Ok(Ok(()))) {
-            return;
-        }
-        let mut sink = [0; MAX_LINE];
-        let mut drained = 0;
-        let _ended = timeout(LINGER, async {
-            while drained < DRAIN && self.stream.readable().await.is_ok() {
-                match self.stream.try_read(&mut sink) {
-                    Ok(0) => break,
-                    Ok(count) => drained += count,
-                    Err(error) if error.kind() != io::ErrorKind::WouldBlock => break,
-                    Err(_) => {}
-                }
-            }
-        })
-        .await;
-    }
-
-    /// Ends the connection as a broken one ends.
-    pub fn reset(self) {
-        // Where the option can't be set the connection is gone already.
-        self.stream.set_zero_linger().unwrap_or_default();
-    }
-}
 
 /// Serves one connection.
 pub async fn run(node: Rc<Node>, stream: TcpStream, guest: Guest) {
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -4,102 +4,34 @@
 //! A stream that breaks tells each that the other has ended: nothing rests on files or process numbers that outlive
 //! their process.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::config::Identity;
-use crate::discovery::{List, server_id};
-use crate::kept::Stand;
+use crate::hello::Hello;
+use crate::link::{Link, WORD, Word};
+use crate::list::server_id;
 use crate::node::Node;
 use crate::pass;
 
 /// The form of the lines; a process that speaks another one starts alone.
 const VERSION: u32 = 1;
-/// A process that says nothing for this long where a word is owed is taken to have none.
-pub const WORD: Duration = Duration::from_millis(500);
 /// The longest line: a list, and ids that each may take a line of a client.
 const MAX_LINE: u64 = 24 << 20;
 /// How often the descriptors held are looked at, to tell of a change.
 const LOOK: Duration = Duration::from_millis(10);
 
-/// What the predecessor tells first.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Hello {
-    /// The form of all lines.
-    pub version: u32,
-    /// The node's name.
-    pub name: String,
-    /// The file in force, but for the list known.
-    pub config: Value,
-    /// Where discovery is.
-    pub discovery: Option<SocketAddr>,
-    /// The server list, whole.
-    pub list: List,
-    /// Where hosts stand that operators have named.
-    pub hosts: BTreeMap<String, Stand>,
-    /// Ids of requests that are open, or have ended not long ago.
-    pub ids: Vec<String>,
-    /// Descriptors held.
-    pub held: usize,
-    /// Further attempts and requests taken, counted in parts of the span of their budget: the ages of a part's first and
-    /// last event in microseconds, requests, attempts. Nothing where that is not known: a process of an older version.
-    #[serde(default)]
-    pub spent: Option<Vec<(u64, u64, u32, u32)>>,
-}
-
-/// A line of the stream.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Word {
-    /// The successor's first.
-    Join {
-        version: u32,
-    },
-    /// The predecessor's first.
-    Hello(Box<Hello>),
-    /// The predecessor's first to a third process.
-    Taken,
-    /// Descriptors that the sender holds.
-    Held(usize),
-    /// The sender takes clients; answered by `Done`.
-    Ready {
-        number: u64,
-    },
-    /// The successor can be passed sockets, and asks for the one on which clients are taken in; answered by `Done`.
-    Door {
-        number: u64,
-    },
-    /// A host stands elsewhere; answered by `Done`.
-    Host {
-        number: u64,
-        host: String,
-        stand: Stand,
-    },
-    Done {
-        number: u64,
-    },
-    /// The id of a request that the sender has taken.
-    Id(String),
-    /// The sender takes no more clients.
-    Closed,
-}
-
 /// Why a process cannot be spoken with.
 #[derive(Debug, Error)]
 enum LinkError {
@@ -122,71 +54,6 @@
 #[error("another process is already taking over from the one that serves")]
 pub struct AlreadyTaken;
 
-/// The stream to the other process, as the node holds it.
-pub struct Link {
-    say: mpsc::UnboundedSender<Word>,
-    /// Descriptors that the other holds.
-    pub held: Cell<usize>,
-    /// The other takes clients.
-    ready: Cell<bool>,
-    /// The other takes over from this process, and not this one from it.
-    pub successor: bool,
-    next: Cell<u64>,
-    owed: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
-}
-
-impl Link {
-    fn new(say: mpsc::UnboundedSender<Word>, held: usize, successor: bool) -> Rc<Self> {
-        // A predecessor does until it says otherwise.
-        let (ready, next) = (Cell::new(!successor), Cell::new(0));
-        Rc::new(Link { say, held: Cell::new(held), ready, successor, next, owed: RefCell::default() })
-    }
-
-    /// Whether the other takes clients, so that this process may go.
-    pub fn other_serves(&self) -> bool {
-        self.ready.get()
-    }
-
-    /// Says a word and waits until the other has done it. One that does not is waited for no longer than a moment: a
-    /// call of operators is owed its answer.
-    async fn ask(&self, word: impl FnOnce(u64) -> Word) {
-        let number = self.next.replace(self.next.get() + 1);
-        let (done, owed) = oneshot::channel();
-        self.owed.borrow_mut().insert(number, done);
-        // Where the stream is broken the other has ended, and nothing is owed.
-        if self.say.send(word(number)).is_ok() && timeout(WORD, owed).await.is_err() {
-            warn!("the other process has not answered within {} ms", WORD.as_millis());
-        }
-        self.owed.borrow_mut().remove(&number);
-    }
-
-    /// A host stands elsewhere, at the other process too once this returns.
-    pub async fn tell_host(&self, host: &str, stand: Stand) {
-        self.ask(|number| Word::Host { number, host: host.to_owned(), stand }).await;
-    }
-
-    /// This process has taken a request with this id.
-    pub fn tell_id(&self, id: &[u8]) {
-        let _ended = self.say.send(Word::Id(String::from_utf8_lossy(id).into_owned()));
-    }
-
-    /// This process takes no more clients.
-    pub fn tell_closed(&self) {
-        // Where the stream is broken nobody is left to hear it.
-        let _ended = self.say.send(Word::Closed);
-    }
-
-    /// Asks for the socket on which the other takes clients in. It has been passed on once this returns, or won't be.
-    pub async fn ask_door(&self) {
-        self.ask(|number| Word::Door { number }).await;
-    }
-
-    /// This process takes clients from now on.
-    pub async fn tell_ready(&self) {
-        self.ask(|number| Word::Ready { number }).await;
-    }
-}
-
 /// Where the stream is to be had: a short path, as the system allows no long one.
 fn socket_path(dir: &Path, name: &str) -> PathBuf {
     dir.join(format!("alderstile-{:016x}.sock", server_id(name).0))
@@ -352,27 +219,23 @@
             match word {
                 Word::Held(held) => link.held.set(held),
                 Word::Ready { number } => {
-                    link.ready.set(true);
+                    link.other_is_ready(true);
                     info!("the process that takes over serves");
-                    let _ended = link.say.send(Word::Done { number });
+                    link.say(Word::Done { number });
                 }
                 Word::Door { number } => {
                     if let Err(error) = share_door(node).await {
                         warn!("the socket for clients can't be shared: {error}");
                     }
-                    let _ended = link.say.send(Word::Done { number });
+                    link.say(Word::Done { number });
                 }
                 Word::Host { number, host, stand } => {
                     node.stand(&host, stand);
-                    let _ended = link.say.send(Word::Done { number });
+                    link.say(Word::Done { number });
                 }
                 Word::Id(id) => node.know_id(id.as_bytes()),
-                Word::Closed => link.ready.set(false),
-                Word::Done { number } => {
-                    let owed = link.owed.borrow_mut().remove(&number);
-                    // Who asked may have given up.
-                    owed.map(|owed| owed.send(()));
-                }
+                Word::Closed => link.other_is_ready(false),
+                Word::Done { number } => link.done(number),
                 Word::Join { .. } | Word::Hello(_) | Word::Taken => return Err(LinkError::Turn),
             }
         }
@@ -399,5 +262,5 @@
         warn!("the other process: {error}");
     }
     node.link(None);
-    link.owed.borrow_mut().clear();
+    link.ended();
 }
--- a/crates/alderstile-node/tests/admin.rs
+++ b/crates/alderstile-node/tests/admin.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use alderstile_node::admin::{self, PLACES};
-use alderstile_node::discovery::server_id;
+use alderstile_node::admin;
+use alderstile_node::config::CALLERS;
 use alderstile_node::kept::{Kept, Stand};
+use alderstile_node::list::server_id;
 use alderstile_node::listener;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -177,7 +178,7 @@
             crowd.push(TcpStream::connect(node.setup.address).await.expect("connected"));
         }
         let mut silent = Vec::new();
-        for _ in 0..3 * PLACES {
+        for _ in 0..3 * CALLERS {
             let mut caller = TcpStream::connect(node.admin).await.expect("connected");
             caller.write_all(b"GET /con").await.expect("sent");
             silent.push(caller);
--- a/crates/alderstile-node/tests/node.rs
+++ b/crates/alderstile-node/tests/node.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use alderstile_node::discovery::server_id;
+use alderstile_node::list::server_id;
 use alderstile_node::shutdown;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use alderstile_node::config::Config;
-use alderstile_node::discovery::server_id;
+use alderstile_node::hello::Hello;
+use alderstile_node::list::server_id;
 use alderstile_node::reload::reload;
-use alderstile_node::upgrade::Hello;
 use proptest::prelude::*;
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -428,7 +428,7 @@
         let dir = dir("none");
         let config = Identity { name: "n1".to_owned(), dir: dir.clone() };
         assert!(upgrade::join(&config).await.expect("alone").is_none(), "nobody there");
-        let name = format!("alderstile-{:016x}.sock", alderstile_node::discovery::server_id("n1").0);
+        let name = format!("alderstile-{:016x}.sock", alderstile_node::list::server_id("n1").0);
         let path = dir.join(name);
         drop(UnixListener::bind(&path).expect("bound"));
         assert!(upgrade::join(&config).await.expect("alone").is_none(), "a socket that was left");
