--- a/crates/alderstile-node/src/admin.rs
+++ b/crates/alderstile-node/src/admin.rs
@@ -14,10 +14,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use log::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
+use tracing::{debug, warn};
 
 use crate::config::CALLERS;
 use crate::operators::Operators;
--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -9,9 +9,9 @@
 
 use alderstile::interface::{Micros, Settings};
 use alderstile::settings::{self, Keys, SettingsError, absent};
-use log::warn;
 use serde_json::{Map, Value};
 use thiserror::Error;
+use tracing::warn;
 
 use crate::hello::Hello;
 use crate::list::List;
--- a/crates/alderstile-node/src/decisions.rs
+++ b/crates/alderstile-node/src/decisions.rs
@@ -8,9 +8,9 @@
 use alderstile::facade::Facade;
 use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId};
 use alderstile::shadow::Differences;
-use log::info;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::info;
 
 use crate::clock::Clock;
 use crate::config::{Config, Current};
--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -8,11 +8,11 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use log::{info, warn};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at};
+use tracing::{info, warn};
 
 use crate::decisions::Decisions;
 use crate::list::List;
--- a/crates/alderstile-node/src/kept.rs
+++ b/crates/alderstile-node/src/kept.rs
@@ -6,8 +6,8 @@
 
 use alderstile::facade::Facade;
 use alderstile::interface::{Micros, ServerId};
-use log::{info, warn};
 use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
 
 /// The form of the file; another one is not read.
 const VERSION: u32 = 1;
--- a/crates/alderstile-node/src/link.rs
+++ b/crates/alderstile-node/src/link.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::warn;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
+use tracing::warn;
 
 use crate::hello::Hello;
 use crate::kept::Stand;
--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::warn;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
+use tracing::warn;
 
 use crate::clients::Counted;
 use crate::config::Config;
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -9,81 +9,76 @@
 use alderstile_node::node::Node;
 use alderstile_node::peers::{Peers, Way};
 use alderstile_node::{admin, discovery, listener, pass, reload, session, shutdown, upgrade};
-use lexopt::{Arg, Parser, ValueExt};
-use log::{error, info, warn};
+use clap::{Parser, Subcommand, ValueEnum};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
+use tracing::{error, info, warn};
+use tracing_subscriber::EnvFilter;
 
 /// How often a process that takes over looks whether it can serve.
 const CAN_SERVE: Duration = Duration::from_millis(5);
 
-const HELP: &str = "\
-alderstile balances long-lived connections over hosts
-
-Usage: alderstile COMMAND [--config FILE]
-
-Commands:
-  serve         serve clients until SIGTERM or SIGINT, then tell all of them to move, or pass them on to a
-                process started beside this one; SIGHUP reads the configuration again
-  check-config  read and check the configuration, and say what is wrong with it
-  version       print the version
-  help          print this
+/// alderstile balances long-lived connections over hosts
+///
+/// The configuration is a JSON file: the one that --config or ROUTER_CONFIG names. ROUTER_NAME, ROUTER_LISTEN and
+/// ROUTER_DISCOVERY stand above its name, listen and discovery, ROUTER_ADMIN_ADDR above its admin_addr; at a reload the file's
+/// discovery counts. RUST_LOG sets what is logged (info if not set).
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    /// How log lines look, on standard error
+    #[arg(long, value_enum, default_value = "text", global = true)]
+    log_format: Format,
+    /// The configuration's file
+    #[arg(long, global = true)]
+    config: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Command,
+}
 
-The configuration is a JSON file: FILE, or the one that ROUTER_CONFIG names. ROUTER_NAME, ROUTER_LISTEN and
-ROUTER_DISCOVERY stand above its name, listen and discovery, ROUTER_ADMIN_ADDR above its admin_addr; at a reload the
-file's discovery counts. RUST_LOG sets what is logged (info if not set).
-";
+#[derive(Clone, Copy, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
 
+#[derive(Subcommand)]
 enum Command {
-    Serve(Option<PathBuf>),
-    CheckConfig(Option<PathBuf>),
+    /// Serve clients until SIGTERM or SIGINT
+    ///
+    /// Then all of them are told to move, or passed on to a process started beside this one; SIGHUP reads the configuration again.
+    Serve,
+    /// Read and check the configuration, and say what is wrong with it
+    CheckConfig,
+    /// Print the version
     Version,
-    Help,
-}
-
-fn command(mut args: Parser) -> Result<Command, lexopt::Error> {
-    let (mut name, mut config) = (None, None);
-    while let Some(arg) = args.next()? {
-        match arg {
-            Arg::Long("config") => config = Some(PathBuf::from(args.value()?)),
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
-            Arg::Value(value) if name.is_none() => name = Some(value.string()?),
-            other => return Err(other.unexpected()),
-        }
-    }
-    match name.as_deref() {
-        Some("serve") => Ok(Command::Serve(config)),
-        Some("check-config") => Ok(Command::CheckConfig(config)),
-        Some("version") => Ok(Command::Version),
-        Some("help") => Ok(Command::Help),
-        Some(other) => Err(format!("unknown command {other:?}; `alderstile help` lists them").into()),
-        None => Err("which command? `alderstile help` lists them".into()),
-    }
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let done = match command(Parser::from_env()) {
-        Err(error) => Err(error.to_string()),
-        Ok(Command::Help) => {
-            print!("{HELP}");
-            Ok(())
-        }
-        Ok(Command::Version) => {
+    let args = Args::parse();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match args.log_format {
+        // The platform's log has a time of its own.
+        Format::Text => log.with_ansi(false).without_time().init(),
+        Format::Json => log.json().init(),
+    }
+    let path = args.config.as_deref();
+    let done = match args.command {
+        Command::Version => {
             println!("alderstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Ok(Command::CheckConfig(path)) => load(path.as_deref()).map(|config| {
+        Command::CheckConfig => load(path).map(|config| {
             let shadow = if config.shadow.is_some() { ", a second instance watches" } else { "" };
             let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
             let operators =
                 config.admin_addr.map(|address| format!(", operators at {address}")).unwrap_or_default();
             println!("{name}: listens on {listen}{operators}, {classes} classes{shadow}: fine");
         }),
-        Ok(Command::Serve(path)) => serve(path.as_deref()),
+        Command::Serve => serve(path),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/alderstile-node/src/operators.rs
+++ b/crates/alderstile-node/src/operators.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::rc::Rc;
 
-use log::info;
+use tracing::info;
 
 use crate::clients::Clients;
 use crate::config::Current;
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/pass.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -18,6 +17,7 @@
 use tokio::io::Interest;
 use tokio::net::UnixDatagram;
 use tokio::time::timeout;
+use tracing::{info, warn};
 
 use crate::config::Config;
 use crate::list::server_id;
--- a/crates/alderstile-node/src/peers.rs
+++ b/crates/alderstile-node/src/peers.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{debug, warn};
 use tokio::net::UdpSocket;
+use tracing::{debug, warn};
 
 use crate::node::Node;
 
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use alderstile::interface::{RequestId, ServerId};
-use log::debug;
 use serde::{Deserialize, Serialize};
 use tokio::io::Interest;
 use tokio::time::Instant;
+use tracing::debug;
 
 use crate::clients::Mover;
 use crate::decisions::{Decisions, sleep_until};
--- a/crates/alderstile-node/src/reload.rs
+++ b/crates/alderstile-node/src/reload.rs
@@ -5,7 +5,7 @@
 
 use std::path::Path;
 
-use log::{error, info};
+use tracing::{error, info};
 
 use crate::config::Config;
 use crate::node::Node;
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -6,10 +6,10 @@
 
 use alderstile::facade::{Answer, Ask};
 use alderstile::interface::{GroupId, Micros, Outcome, RequestId, ServerId};
-use log::{debug, info, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tracing::{debug, info, warn};
 
 use crate::buffer::LineBuffer;
 use crate::clients::{Counted, OpenId};
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
+use tracing::{info, warn};
 
 use crate::node::Node;
 use crate::pass;
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use log::{info, warn};
 use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
@@ -17,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 use crate::config::Identity;
 use crate::hello::Hello;
