Who waits at the door when a stop ends is answered

Cause: at the end of a stop the task that accepts was aborted where it stood (`accepting.abort()` in shutdown.rs); connections that the system had taken in by then, and their lines, went with the listener. Ruled out: a session that ended without a word (its descriptor would have kept the process up), the lab's forwarder (it had connected).

Change: the door is closed as at a replacement, in the step in which nobody waits there.

--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -58,9 +58,10 @@
     if node.clients.passing().is_none() {
         node.clients.move_all();
     }
-    accepting.abort();
+    // The door is closed by who keeps it, in the step in which nobody waits there: whom the system has taken in is a
+    // client, and is owed an answer.
+    node.process.door.notify_one();
     drop(accepting.await);
-    node.process.listen(None);
     while node.clients.descriptors() > 0 {
         sleep(LOOK).await;
     }
--- a/crates/alderstile-node/tests/node.rs
+++ b/crates/alderstile-node/tests/node.rs
@@ -1,10 +1,12 @@
 //! The node on loopback between stand-ins: each failure that sockets can bring, and what must come of it.
 
+use std::io::Write;
 use std::time::Duration;
 
 use alderstile_node::list::server_id;
 use alderstile_node::shutdown;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -219,6 +221,33 @@
     });
 }
 
+#[test]
+fn who_waits_at_the_door_when_a_stop_ends_is_answered() {
+    // Found in the lab (rolling, seed 4): a client whose connection the system had taken in during the last millisecond
+    // of a stop was closed with no answer.
+    run(async {
+        let setup = start(|config| config["settings"]["classes"][0]["give_up"] = json!(1000)).await;
+        // With nobody to be moved it ends half-way.
+        let last = setup.node.config().stop_within / 2;
+        let leaving = spawn_local(shutdown::run(setup.node.clone(), setup.accepting));
+        sleep(last.saturating_sub(Duration::from_millis(30))).await;
+        // Nothing else runs on this thread until the stop's time is over.
+        let mut waiting = Vec::new();
+        for id in 0..40 {
+            let mut client = std::net::TcpStream::connect(setup.address).expect("the system takes it in");
+            write!(client, "OPEN {id:016x} {id:016x} c=chat,d=200\r\n").expect("sent");
+            client.set_nonblocking(true).expect("set");
+            waiting.push(client);
+        }
+        std::thread::sleep(Duration::from_millis(60));
+        for client in waiting {
+            let client = tokio::net::TcpStream::from_std(client).expect("a stream");
+            assert!(Peer(BufReader::new(client)).line().await.is_some(), "answered");
+        }
+        leaving.await.expect("left");
+    });
+}
+
 #[test]
 fn a_node_that_leaves_serves_on_those_that_it_has_not_told_to_move() {
     run(async {
