--- /dev/null
+++ b/crates/alderstile-cluster/src/lib.rs
@@ -0,0 +1,14 @@
+//! What several nodes of alderstile settle among themselves.
+//!
+//! Cores without I/O: time, messages and randomness come as arguments, and what is to be sent or told is returned. The
+//! node has the adapters; the lab plays the same cores in simulated time. `docs/cluster.md` has the design.
+
+use sha2::{Digest, Sha256};
+
+pub mod members;
+
+/// The first eight bytes of the SHA-256 of something, as a number: alike at all nodes that have the same.
+pub fn digest(bytes: &[u8]) -> u64 {
+    let [a, b, c, d, e, f, g, h, ..] = Sha256::digest(bytes).0;
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
--- /dev/null
+++ b/crates/alderstile-cluster/tests/members.rs
@@ -0,0 +1,358 @@
+//! The members' core: bad input changes nothing, and what is believed follows its rules.
+
+use std::net::SocketAddr;
+
+use alderstile::interface::Micros;
+use alderstile_cluster::members::*;
+use proptest::prelude::*;
+
+const KEY: &[u8] = b"sixteen bytes or more";
+
+fn seal() -> Seal {
+    Seal::new("test", &[KEY.to_vec()]).expect("a seal")
+}
+
+fn address(n: u64) -> SocketAddr {
+    format!("127.0.0.{n}:7946").parse().expect("an address")
+}
+
+fn record(n: u64) -> Record {
+    let (name, zone) = (format!("n{n}").into(), "a".into());
+    let (session, address) = (Session(n * 1_000), address(n));
+    Record { session, incarnation: 1, name, zone, address, digest: 7, facts: [].into() }
+}
+
+fn period() -> Micros {
+    Micros::from_millis(1_000)
+}
+
+fn member_with(n: u64, seal: Seal, known: &[u64]) -> Members {
+    let set = Settings::with_period(period());
+    let seeds = vec![address(1), address(2)];
+    Members::new(set, seal, record(n), seeds, n, Micros(0)).knowing(known.iter().map(|n| record(*n)))
+}
+
+fn member(n: u64, known: &[u64]) -> Members {
+    member_with(n, seal(), known)
+}
+
+/// Carries all datagrams between these until nobody has anything to say; returns what changed, by whom.
+fn carry(members: &mut [Members], now: Micros, mut out: Vec<(usize, Vec<Out>)>) -> Vec<(usize, Change)> {
+    let mut changes = Vec::new();
+    while let Some((by, outs)) = out.pop() {
+        for one in outs {
+            match one {
+                Out::Tell(change) => changes.push((by, change)),
+                Out::Send(to, bytes) => {
+                    let from = members[by].me().address;
+                    if let Some(i) = members.iter().position(|member| member.me().address == to) {
+                        out.push((i, members[i].received(now, from, &bytes)));
+                    }
+                }
+            }
+        }
+    }
+    changes
+}
+
+/// Lets time pass for all of them.
+fn pass(members: &mut [Members], now: &mut Micros, span: Micros) -> Vec<(usize, Change)> {
+    let until = *now + span;
+    let mut changes = Vec::new();
+    loop {
+        let (due, i) = members.iter().enumerate().map(|(i, m)| (m.due(), i)).min().expect("members");
+        if due > until {
+            break;
+        }
+        *now = (*now).max(due);
+        let out = members[i].tick(*now);
+        changes.extend(carry(members, *now, vec![(i, out)]));
+    }
+    *now = until;
+    changes
+}
+
+fn state(of: &Members, session: Session) -> Option<State> {
+    of.other(session).map(|member| member.state)
+}
+
+#[test]
+fn members_find_each_other_by_any_one_seed() {
+    // The first seed does not exist.
+    let mut members = vec![member(2, &[]), member(3, &[]), member(4, &[])];
+    let mut now = Micros(0);
+    pass(&mut members, &mut now, Micros::from_millis(30_000));
+    assert!(members.iter().all(|member| member.count() == 3), "all know all");
+    assert!(members.iter().all(|member| member.figures().foreign + member.figures().damaged == 0));
+}
+
+#[test]
+fn who_dies_is_suspected_first_and_dead_in_its_time_and_who_leaves_has_left() {
+    let mut members = vec![member(1, &[2, 3, 4]), member(2, &[1, 3, 4]), member(3, &[1, 2, 4])];
+    let mut now = Micros(0);
+    // Number 4 never was: it is silent from the start.
+    let changes = pass(&mut members, &mut now, Micros::from_millis(15_000));
+    let four = Session(4_000);
+    let suspected = changes.iter().position(|change| *change == (0, Change::Suspected(four)));
+    let died = changes.iter().position(|change| *change == (0, Change::Died(four)));
+    assert!(suspected.is_some() && suspected < died, "{changes:?}");
+    let out = members[2].leave(now);
+    carry(&mut members, now, vec![(2, out)]);
+    assert_eq!(state(&members[0], Session(3_000)), Some(State::Left));
+    assert_eq!(members[0].count(), 2);
+}
+
+#[test]
+fn one_that_returns_under_its_name_replaces_the_one_before() {
+    let mut members = vec![member(1, &[2, 3]), member(2, &[1, 3])];
+    // Number 3 returns as another process at the same address; the others still hold the old one alive.
+    let again = Record { session: Session(33), ..record(3) };
+    members.push(Members::new(
+        Settings::with_period(period()),
+        seal(),
+        again,
+        vec![address(1)],
+        9,
+        Micros(0),
+    ));
+    let mut now = Micros(0);
+    let changes = pass(&mut members, &mut now, Micros::from_millis(5_000));
+    assert!(changes.iter().any(|(_, change)| *change == Change::Replaced(Session(3_000))), "{changes:?}");
+    assert_eq!(state(&members[0], Session(3_000)), Some(State::Dead));
+    assert_eq!(state(&members[0], Session(33)), Some(State::Alive));
+    assert!(members[0].claimed().is_empty() && members[0].count() == 3);
+}
+
+#[test]
+fn two_that_claim_one_name_are_told_and_neither_is_believed_over_the_other() {
+    let mut members = vec![member(1, &[2]), member(2, &[1])];
+    let other = Record { name: "n2".into(), ..record(5) };
+    members.push(Members::new(
+        Settings::with_period(period()),
+        seal(),
+        other,
+        vec![address(1)],
+        5,
+        Micros(0),
+    ));
+    let mut now = Micros(0);
+    let changes = pass(&mut members, &mut now, Micros::from_millis(5_000));
+    for (by, member) in members.iter().enumerate() {
+        assert!(changes.contains(&(by, Change::Claimed("n2".into()))), "{by}: {changes:?}");
+        assert!(member.claimed().contains("n2"));
+    }
+    assert_eq!(state(&members[0], Session(2_000)), Some(State::Alive));
+    assert_eq!(state(&members[0], Session(5_000)), Some(State::Alive));
+    // When one of them has gone the other has the name.
+    members.pop();
+    let changes = pass(&mut members, &mut now, Micros::from_millis(20_000));
+    assert!(changes.contains(&(0, Change::Settled("n2".into()))), "{changes:?}");
+}
+
+#[test]
+fn a_member_that_stood_still_longer_than_every_time_out_holds_nobody_dead_for_it() {
+    let mut members = vec![member(1, &[2, 3]), member(2, &[1, 3]), member(3, &[1, 2])];
+    let mut now = Micros(0);
+    pass(&mut members, &mut now, Micros::from_millis(3_000));
+    // Number 1 alone: an hour later, as if its machine had slept.
+    now = now + Micros(3_600_000_000);
+    let out = members[0].tick(now);
+    assert!(out.iter().any(|out| matches!(out, Out::Tell(Change::StoodStill(_)))));
+    assert!(!out.iter().any(|out| matches!(out, Out::Tell(Change::Died(_) | Change::Suspected(_)))));
+}
+
+#[test]
+fn a_clock_that_goes_back_does_nothing_twice() {
+    let mut one = member(1, &[2, 3]);
+    let sent = |out: Vec<Out>| out.iter().filter(|out| matches!(out, Out::Send(..))).count();
+    assert!(sent(one.tick(Micros(5_000_000))) > 0);
+    let due = one.due();
+    assert_eq!(sent(one.tick(Micros(1))), 0);
+    assert_eq!(one.due(), due);
+}
+
+#[test]
+fn foreign_damaged_replayed_old_and_newer_datagrams_change_nothing_and_are_counted() {
+    let mut one = member(1, &[2]);
+    let ping = |to: u64, counter, seal: &Seal| {
+        let header = Header { from: Session(2_000), to: Session(to), counter };
+        // It would bring a member that nobody knows.
+        let news = Rumor::Alive(record(9));
+        seal.write(header, &Body::Ping { nonce: 1, record: record(2) }, &[&news]).0
+    };
+    let take = |one: &mut Members, bytes: &[u8]| one.received(Micros(0), address(2), bytes);
+    let other_key = Seal::new("test", &[b"another key of a length".to_vec()]).expect("a seal");
+    let other_name = Seal::new("other", &[KEY.to_vec()]).expect("a seal");
+    for seal in [&other_key, &other_name] {
+        assert_eq!(take(&mut one, &ping(1_000, 1, seal)), []);
+    }
+    assert_eq!(one.figures().foreign, 2);
+    let good = ping(1_000, 1, &seal());
+    let mut newer = good.clone();
+    newer[2] = 9;
+    assert_eq!(take(&mut one, &newer), []);
+    assert_eq!(one.figures().newer, 1);
+    for i in 0..good.len() {
+        let mut bad = good.clone();
+        bad[i] ^= 1;
+        assert_eq!(take(&mut one, &bad), [], "byte {i}");
+        assert_eq!(take(&mut one, &good[..i]), [], "cut at {i}");
+    }
+    // Made for another process here: it is told who is here, and nothing else.
+    let told = take(&mut one, &ping(77, 1, &seal()));
+    assert!(matches!(told[..], [Out::Send(..)]), "{told:?}");
+    assert_eq!((one.figures().stale, one.figures().taken), (1, 0));
+    assert_eq!(state(&one, Session(9_000)), None, "nothing was believed so far");
+    take(&mut one, &good);
+    assert_eq!(state(&one, Session(9_000)), Some(State::Alive));
+    assert_eq!(take(&mut one, &good), [], "a second time");
+    assert_eq!((one.figures().replayed, one.figures().taken), (1, 1));
+}
+
+#[test]
+fn two_keys_are_believed_while_one_takes_the_others_place() {
+    let (old, new) = (KEY.to_vec(), b"the key that comes next".to_vec());
+    let seals = [vec![old.clone()], vec![old.clone(), new.clone()], vec![new.clone(), old], vec![new]];
+    for pair in seals.windows(2) {
+        let seal = |keys| Seal::new("test", keys).expect("a seal");
+        let mut members = vec![member_with(1, seal(&pair[0]), &[2]), member_with(2, seal(&pair[1]), &[1])];
+        pass(&mut members, &mut Micros(0), Micros::from_millis(5_000));
+        assert!(members.iter().all(|m| m.figures().foreign == 0 && m.figures().taken > 3));
+    }
+    assert!(Seal::new("test", &[vec![1; MIN_KEY - 1]]).is_none(), "too short a key");
+    assert!(Seal::new("test", &[]).is_none() && Seal::new("", &[KEY.to_vec()]).is_none());
+}
+
+#[test]
+fn facts_and_digests_reach_the_others_and_do_not_outgrow_their_room() {
+    let mut members = vec![member(1, &[2, 3]), member(2, &[1, 3]), member(3, &[1, 2])];
+    members[0].set_fact(4, b"cold").expect("it fits");
+    members[0].set_digest(99);
+    assert_eq!(members[0].set_fact(5, &[0; MAX_FACTS]), Err(Unfit::Facts));
+    let mut now = Micros(0);
+    pass(&mut members, &mut now, Micros::from_millis(5_000));
+    let seen = &members[2].other(Session(1_000)).expect("known").record;
+    assert_eq!((seen.fact(4), seen.fact(5), seen.digest), (Some(&b"cold"[..]), None, 99));
+    members[0].set_fact(4, b"").expect("taken away");
+    pass(&mut members, &mut now, Micros::from_millis(5_000));
+    assert_eq!(members[2].other(Session(1_000)).expect("known").record.fact(4), None);
+}
+
+#[test]
+fn what_a_member_sends_in_a_period_is_bounded_whatever_comes() {
+    let mut one = member(1, &[2]);
+    let mut sent = 0;
+    for counter in 1..5_000 {
+        let header = Header { from: Session(2_000), to: Session(1_000), counter };
+        let ping = seal().write(header, &Body::Ping { nonce: counter, record: record(2) }, &[]).0;
+        let out = one.received(Micros(10), address(2), &ping);
+        for one in &out {
+            let Out::Send(_, bytes) = one else { continue };
+            sent += 1;
+            assert!(bytes.len() <= MAX_DATAGRAM);
+        }
+    }
+    assert_eq!(sent, Settings::with_period(period()).most);
+    assert!(one.figures().held_back > 0);
+}
+
+#[test]
+fn a_member_whose_seeds_are_down_goes_on_asking_ever_less_often() {
+    let mut lonely = vec![member(3, &[])];
+    let mut now = Micros(0);
+    pass(&mut lonely, &mut now, Micros::from_millis(60_000));
+    let first = lonely[0].figures().sent;
+    pass(&mut lonely, &mut now, Micros::from_millis(600_000));
+    let later = lonely[0].figures().sent - first;
+    assert!(first >= 4 && later >= 5, "{first} in the first minute, {later} in ten more");
+    assert!(later < 10 * first, "{first} in the first minute, {later} in ten more");
+    // And finds them when they come.
+    lonely.push(member(1, &[]));
+    pass(&mut lonely, &mut now, Micros::from_millis(240_000));
+    assert_eq!(lonely[0].count(), 2);
+}
+
+fn any_record() -> impl Strategy<Value = Record> {
+    (
+        1..=u64::MAX,
+        any::<u64>(),
+        "[a-z0-9]{1,40}",
+        "[a-z]{0,24}",
+        any::<[u8; 4]>(),
+        any::<u16>(),
+        any::<u64>(),
+    )
+        .prop_map(|(session, incarnation, name, zone, ip, port, digest)| Record {
+            session: Session(session),
+            incarnation,
+            name: name.into(),
+            zone: zone.into(),
+            address: (ip, port).into(),
+            digest,
+            facts: [].into(),
+        })
+}
+
+fn any_rumor() -> impl Strategy<Value = Rumor> {
+    let few = || 1..6u64;
+    prop_oneof![
+        any_record().prop_map(Rumor::Alive),
+        (few(), any::<u64>(), few()).prop_map(|(s, incarnation, by)| {
+            Rumor::Suspect { session: Session(s * 1_000), incarnation, by: Session(by * 1_000) }
+        }),
+        (few(), 0..4u64)
+            .prop_map(|(s, incarnation)| Rumor::Dead { session: Session(s * 1_000), incarnation }),
+        (few(), any::<u64>())
+            .prop_map(|(s, incarnation)| Rumor::Left { session: Session(s * 1_000), incarnation }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read(record in any_record(), rumors in prop::collection::vec(any_rumor(), 0..6)) {
+        let header = Header { from: record.session, to: Session(5), counter: 3 };
+        for body in [
+            Body::Ping { nonce: 1, record: record.clone() },
+            Body::Ack { nonce: 2 },
+            Body::PingFor { nonce: 3, target: Session(9), address: record.address },
+            Body::Nack { nonce: 4 },
+            Body::Hello { record: record.clone() },
+            Body::Sync { after: Session(8), record: record.clone() },
+            Body::Page { last: true, members: vec![(State::Suspect, record.clone())] },
+        ] {
+            let refs: Vec<&Rumor> = rumors.iter().collect();
+            let (bytes, written) = seal().write(header, &body, &refs);
+            prop_assert!(bytes.len() <= MAX_DATAGRAM);
+            let read = seal().read(&bytes).expect("read");
+            prop_assert_eq!((read.header, &read.body, &read.rumors[..]), (header, &body, &rumors[..written]));
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..1_400)) {
+        let mut one = member(1, &[2]);
+        prop_assert_eq!(one.received(Micros(0), address(2), &bytes), []);
+        // The same from a broken member that has the key.
+        one.received(Micros(0), address(2), &seal().sealed(&bytes));
+        prop_assert_eq!(one.count(), one.others().filter(|other| other.state.lives()).count() + 1);
+    }
+
+    /// Whatever members with the key say: no panic, no more than is allowed is sent, the sums hold.
+    #[test]
+    fn no_word_of_a_member_breaks_the_sums(
+        words in prop::collection::vec((any_rumor(), any::<u64>(), 0..3_000u64), 1..60),
+    ) {
+        let mut one = member(1, &[2, 3, 4]);
+        let mut now = Micros(0);
+        for (counter, (rumor, nonce, late)) in words.into_iter().enumerate() {
+            now = now + Micros::from_millis(late);
+            let header = Header { from: Session(2_000), to: Session(1_000), counter: counter as u64 + 1 };
+            let (bytes, _) = seal().write(header, &Body::Nack { nonce }, &[&rumor]);
+            one.received(now, address(2), &bytes);
+            one.tick(now);
+            let living = one.others().filter(|member| member.state.lives()).count();
+            prop_assert_eq!(one.count(), living + 1);
+            prop_assert!(one.due() > now, "all that was due is done");
+        }
+    }
+}
--- a/crates/alderstile-lab/examples/broken_node.rs
+++ b/crates/alderstile-lab/examples/broken_node.rs
@@ -50,6 +50,10 @@
                 std::process::exit(3);
             });
         }
+        if what == "sees-dead" {
+            let admin = std::env::var("ROUTER_ADMIN_ADDR").unwrap_or_default();
+            spawn_local(sees_dead(admin));
+        }
         let broken = Rc::new(Broken { what, hosts, next: AtomicUsize::new(0) });
         loop {
             let (stream, _) = listener.accept().await?;
@@ -102,3 +106,19 @@
         }
     }
 }
+
+/// Tells operators for ever that the first node is dead.
+async fn sees_dead(admin: String) -> io::Result<()> {
+    let listener = TcpListener::bind(admin).await?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let mut stream = BufReader::new(stream);
+        let mut line = String::new();
+        while stream.read_line(&mut line).await? > 2 {
+            line.clear();
+        }
+        let view = r#"{"members":[{"name":"n0","state":"dead"},{"name":"n1","state":"alive"}]}"#;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", view.len());
+        stream.get_mut().write_all(format!("{head}{view}").as_bytes()).await?;
+    }
+}
--- a/crates/alderstile-lab/src/check.rs
+++ b/crates/alderstile-lab/src/check.rs
@@ -9,6 +9,8 @@
 use crate::history::{Event, Life, Line};
 use crate::schedule::{About, Actor, Kind, Semantics};
 
+mod views;
+
 /// What an answer, an end or a notice may be late by its nature: the rules' slack, 66 ms, and what a busy machine adds.
 const SLACK_S: f64 = 0.6;
 /// A client waits this long after its time before it gives up: what is not answered by the end of the run may yet be.
@@ -54,6 +56,25 @@
     pub worst_second: Option<f64>,
     /// Seconds from the first fault's beginning to the last second that was not served; none where all were.
     pub unserved_until_s: Option<f64>,
+    /// What came of the members' views, where nodes knew of each other.
+    pub views: Option<Views>,
+}
+
+/// What came of the members' views. Times are in seconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Views {
+    /// The members' period.
+    pub period_s: f64,
+    /// For each node killed for good, or for long enough: until the first member suspected it.
+    pub suspected_s: Vec<f64>,
+    /// The same, until all members that were well all the time held it dead.
+    pub known_s: Vec<f64>,
+    /// Members held dead while they and those who held them so were well, by pair.
+    pub false_deaths: usize,
+    /// The longest of these.
+    pub longest_false_s: f64,
+    /// The longest that a member was held dead after what had disturbed it or its ways was over.
+    pub longest_after_s: f64,
 }
 
 impl Report {
@@ -76,6 +97,10 @@
     breaches.extend(effects(&run, &requests, &disturbed));
     breaches.extend(cut_off(&requests, &disturbed));
     breaches.extend(drains(&run, lines, &requests, &disturbed));
+    if run.period_s > 0.0 {
+        let views = report.views.insert(Views { period_s: run.period_s, ..Views::default() });
+        breaches.extend(views::check(&run, lines, &disturbed, views));
+    }
     breaches.sort_by(|a, b| a.t.total_cmp(&b.t));
     report.breaches = breaches;
     report
@@ -89,12 +114,17 @@
     hosts: usize,
     classes: BTreeMap<String, Semantics>,
     grace_s: f64,
+    period_s: f64,
+    /// What a busy machine may add; nothing in simulated time.
+    wide_s: f64,
     ended_at: f64,
 }
 
 impl Run {
     fn of(lines: &[Line]) -> Option<Self> {
-        let Event::Run { title, seed, nodes, hosts, classes, grace_s, .. } = &lines.first()?.what else {
+        let Event::Run { title, seed, on, nodes, hosts, classes, grace_s, period_s, .. } =
+            &lines.first()?.what
+        else {
             return None;
         };
         Some(Run {
@@ -104,6 +134,8 @@
             hosts: *hosts,
             classes: classes.clone(),
             grace_s: *grace_s,
+            period_s: *period_s,
+            wide_s: if on == "emulated" { 0.0 } else { 1.0 },
             ended_at: lines.last()?.t,
         })
     }
@@ -113,11 +145,13 @@
 struct Disturbed {
     parties: BTreeMap<Actor, Vec<(f64, f64)>>,
     ways: BTreeMap<(Actor, Actor), Vec<(f64, f64)>>,
+    /// Cuts alone, as who is on which side: from when, until when.
+    cuts: Vec<(f64, f64, BTreeSet<Actor>, BTreeSet<Actor>)>,
 }
 
 impl Disturbed {
     fn of(lines: &[Line], nodes: usize, hosts: usize) -> Self {
-        let mut found = Disturbed { parties: BTreeMap::new(), ways: BTreeMap::new() };
+        let mut found = Disturbed { parties: BTreeMap::new(), ways: BTreeMap::new(), cuts: Vec::new() };
         let mut open: BTreeMap<Actor, f64> = BTreeMap::new();
         let mut faults: Vec<(f64, &Event)> = Vec::new();
         let end = lines.last().map_or(0.0, |line| line.t);
@@ -166,7 +200,18 @@
                     let until = if *kind == Kind::HostDrain { to_t + 1.5 } else { to_t };
                     on.iter().for_each(|host| found.parties.entry(*host).or_default().push((from_t, until)));
                 }
+                // Members are many, and their ways are looked up by side.
+                About::Way if hosts == 0 => {
+                    if matches!(kind, Kind::Cut | Kind::CutOneWay) {
+                        let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
+                        found.cuts.push((from_t, to_t, from, to));
+                    }
+                }
                 About::Way => {
+                    if matches!(kind, Kind::Cut | Kind::CutOneWay) {
+                        let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
+                        found.cuts.push((from_t, to_t, from, to));
+                    }
                     let (from, to): (BTreeSet<_>, BTreeSet<_>) = (from.iter().collect(), to.iter().collect());
                     for a in &all {
                         for b in &all {
--- /dev/null
+++ b/crates/alderstile-lab/src/emulated/mod.rs
@@ -0,0 +1,418 @@
+//! Runs in simulated time: the cores of the cluster over an emulated network, one seed, one order of events.
+//!
+//! The same inputs give the same history, byte for byte, on any machine: nothing here reads a clock or a hash's order. Emulated
+//! are members; hosts, clients and discovery of a schedule are left out.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use alderstile::interface::Micros;
+use alderstile_cluster::members::{Change, Members, Out, Record, Seal, Session, Settings, State};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use thiserror::Error;
+
+use crate::history::{Event, History, Life};
+use crate::links::Faults;
+use crate::schedule::{About, Actor, Kind, Plan, Planned};
+
+/// The seeds of all members: the first so many nodes.
+const SEEDS: usize = 3;
+/// A datagram that is overtaken comes this much later, and three times its way's delay.
+const OVERTAKEN_S: f64 = 0.01;
+
+/// Why a schedule can't be emulated.
+#[derive(Debug, Error)]
+pub enum EmulatedError {
+    /// Nothing to emulate.
+    #[error("a run on emulated nodes needs a table [members]")]
+    NoMembers,
+    /// A fault that acts on what is not emulated.
+    #[error("{0} is not emulated: only processes of nodes and ways between them are")]
+    Kind(Kind),
+}
+
+/// What came of an emulated run, beside its history.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sums {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Seconds that members have run in all.
+    pub member_s: f64,
+    /// Suspicions raised by members themselves.
+    pub suspected: u64,
+    /// Times that a member had to say that it lives.
+    pub refuted: u64,
+}
+
+/// Something that comes, in microseconds from the start. Events of one moment come in the order in which they were made.
+type Due = Reverse<(u64, u64, What)>;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    /// A datagram reaches a node.
+    Comes {
+        to: usize,
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    /// A node has something to do; stale where its number is not the node's latest.
+    Tick {
+        node: usize,
+        number: u64,
+    },
+    Begins(usize),
+    Ends(usize),
+}
+
+struct Node {
+    members: Option<Members>,
+    /// How fast its clock runs.
+    rate: f64,
+    paused: bool,
+    /// What came while it stood still.
+    waiting: Vec<(usize, Vec<u8>)>,
+    /// Number of its latest timer.
+    timer: u64,
+    /// How it sees each other node, as written last.
+    seen: Vec<Option<State>>,
+    since_s: f64,
+}
+
+/// A run.
+struct World<'a> {
+    plan: &'a Plan,
+    set: Settings,
+    history: &'a History,
+    now: u64,
+    queue: BinaryHeap<Due>,
+    made: u64,
+    nodes: Vec<Node>,
+    faults: Faults,
+    rng: Pcg64Mcg,
+    sessions: BTreeMap<Session, usize>,
+    /// All processes that a node has had.
+    processes: Vec<Vec<Session>>,
+    sums: Sums,
+}
+
+/// The address of a node: a label, nothing is bound there.
+fn address(node: usize) -> SocketAddr {
+    let [_, b, c, d] = (node as u32 + 1).to_be_bytes();
+    (Ipv4Addr::new(127, b, c, d), 7_946).into()
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6).round() as u64
+}
+
+/// Plays a plan; its history gets all that happened.
+pub fn run(plan: &Plan, history: &History) -> Result<Sums, EmulatedError> {
+    let members = plan.members.as_ref().ok_or(EmulatedError::NoMembers)?;
+    for fault in &plan.faults {
+        let emulated = match fault.kind.about() {
+            About::Process => !matches!(fault.kind, Kind::Replace | Kind::Reload),
+            About::Way => true,
+            About::List | About::Host => false,
+        };
+        if !emulated {
+            return Err(EmulatedError::Kind(fault.kind));
+        }
+    }
+    let set = Settings {
+        suspicion: members.suspicion,
+        local_health: members.local_health,
+        ..Settings::with_period(Micros::from_millis(members.period_ms))
+    };
+    history.add_at(
+        0.0,
+        Event::Run {
+            title: plan.title.clone(),
+            seed: plan.seed,
+            on: "emulated".to_owned(),
+            length_s: plan.length_s,
+            nodes: plan.nodes,
+            hosts: 0,
+            classes: BTreeMap::new(),
+            grace_s: 0.0,
+            period_s: members.period_ms as f64 / 1e3,
+        },
+    );
+    let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
+    let mut nodes = Vec::new();
+    for _ in 0..plan.nodes {
+        let rate = 1.0 + members.clock_rate * (2.0 * rng.random::<f64>() - 1.0);
+        let seen = vec![None; plan.nodes];
+        let (members, waiting) = (None, Vec::new());
+        nodes.push(Node { members, rate, paused: false, waiting, timer: 0, seen, since_s: 0.0 });
+    }
+    let mut world = World {
+        plan,
+        set,
+        history,
+        now: 0,
+        queue: BinaryHeap::new(),
+        made: 0,
+        nodes,
+        faults: Faults::new(plan.ways.clone()),
+        rng,
+        sessions: BTreeMap::new(),
+        processes: vec![Vec::new(); plan.nodes],
+        sums: Sums::default(),
+    };
+    world.play(members.know_all);
+    Ok(world.sums)
+}
+
+impl World<'_> {
+    fn play(&mut self, know_all: bool) {
+        let records: Vec<Record> = (0..self.plan.nodes).map(|node| self.record(node)).collect();
+        for (node, record) in records.iter().enumerate() {
+            self.start(node, record.clone(), if know_all { &records } else { &[] });
+        }
+        for (number, fault) in self.plan.faults.iter().enumerate() {
+            self.add(micros(fault.at_s), What::Begins(number));
+            if let Some(for_s) = fault.for_s {
+                self.add(micros(fault.at_s + for_s), What::Ends(number));
+            }
+        }
+        let end = micros(self.plan.length_s);
+        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            match what {
+                What::Comes { to, from, bytes } => self.comes(to, from, bytes),
+                What::Tick { node, number } => self.tick(node, number),
+                What::Begins(number) => self.begins(number),
+                What::Ends(number) => self.ends(number),
+            }
+        }
+        self.now = end;
+        (0..self.nodes.len()).for_each(|node| self.count(node));
+        self.history.add_at(self.plan.length_s, Event::End {});
+    }
+
+    fn seconds(&self) -> f64 {
+        self.now as f64 / 1e6
+    }
+
+    fn write(&self, what: Event) {
+        self.history.add_at(self.seconds(), what);
+    }
+
+    fn add(&mut self, at: u64, what: What) {
+        self.made += 1;
+        self.queue.push(Reverse((at, self.made, what)));
+    }
+
+    fn record(&mut self, node: usize) -> Record {
+        let session = Session(self.rng.random::<u64>().max(1));
+        self.sessions.insert(session, node);
+        self.processes[node].push(session);
+        let zone = self.plan.zones[node % self.plan.zones.len()].as_str().into();
+        let name = format!("n{node}").into();
+        Record { session, incarnation: 1, name, zone, address: address(node), digest: 0, facts: [].into() }
+    }
+
+    /// The time on a node's own clock.
+    fn local(&self, node: usize) -> Micros {
+        Micros((self.now as f64 * self.nodes[node].rate) as u64)
+    }
+
+    fn start(&mut self, node: usize, record: Record, known: &[Record]) {
+        let seeds = (0..SEEDS.min(self.plan.nodes)).map(address).collect();
+        // The lab's own key: what it protects is a run.
+        let Some(seal) = Seal::new("lab", &[b"a key of the lab, and no secret".to_vec()]) else { return };
+        let seed = self.rng.random();
+        let members = Members::new(self.set, seal, record, seeds, seed, self.local(node));
+        let members = members.knowing(known.iter().cloned());
+        let now_s = self.seconds();
+        let sim = &mut self.nodes[node];
+        (sim.members, sim.since_s) = (Some(members), now_s);
+        sim.seen.fill(if known.is_empty() { None } else { Some(State::Alive) });
+        if known.is_empty() {
+            sim.seen[node] = Some(State::Alive);
+        }
+        self.write(Event::Process { node, what: Life::Started, how: None });
+        self.write(Event::Process { node, what: Life::Ready, how: None });
+        self.schedule(node);
+    }
+
+    /// Adds up what a process has done, at its end.
+    fn count(&mut self, node: usize) {
+        let now_s = self.seconds();
+        let sim = &mut self.nodes[node];
+        if let Some(members) = sim.members.take() {
+            let figures = members.figures();
+            self.sums.sent += figures.sent;
+            self.sums.sent_bytes += figures.sent_bytes;
+            self.sums.suspected += figures.suspected;
+            self.sums.refuted += figures.refuted;
+            self.sums.member_s += now_s - sim.since_s;
+        }
+    }
+
+    fn schedule(&mut self, node: usize) {
+        let sim = &mut self.nodes[node];
+        let Some(members) = &sim.members else { return };
+        sim.timer += 1;
+        let (number, rate) = (sim.timer, sim.rate);
+        let at = ((members.due().0 as f64 / rate).ceil() as u64).max(self.now + 1);
+        self.add(at, What::Tick { node, number });
+    }
+
+    fn tick(&mut self, node: usize, number: u64) {
+        if self.nodes[node].timer != number || self.nodes[node].paused {
+            return;
+        }
+        let now = self.local(node);
+        if let Some(members) = &mut self.nodes[node].members {
+            let out = members.tick(now);
+            self.act(node, out);
+        }
+        self.schedule(node);
+    }
+
+    fn comes(&mut self, to: usize, from: usize, bytes: Vec<u8>) {
+        if self.nodes[to].paused {
+            // What a process's socket holds while it stands still; a system keeps some hundreds of datagrams.
+            if self.nodes[to].waiting.len() < 500 {
+                self.nodes[to].waiting.push((from, bytes));
+            }
+            return;
+        }
+        let now = self.local(to);
+        if let Some(members) = &mut self.nodes[to].members {
+            let before = members.due();
+            let out = members.received(now, address(from), &bytes);
+            let moved = members.due() != before;
+            self.act(to, out);
+            if moved {
+                self.schedule(to);
+            }
+        }
+    }
+
+    fn act(&mut self, node: usize, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Send(to, bytes) => self.send(node, to, bytes),
+                Out::Tell(change) => self.told(node, &change),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
+        let SocketAddr::V4(to) = to else { return };
+        let to = (u32::from_be_bytes(to.ip().octets()) & 0x00ff_ffff) as usize;
+        let Some(to) = to.checked_sub(1).filter(|to| *to < self.nodes.len()) else { return };
+        let link = self.faults.link(Actor::Node(from), Actor::Node(to));
+        if link.cut || (link.loss > 0.0 && self.rng.random::<f64>() < link.loss) {
+            return;
+        }
+        let mut bytes = bytes;
+        if link.damage > 0.0 && self.rng.random::<f64>() < link.damage {
+            let at = self.rng.random_range(0..bytes.len());
+            bytes[at] ^= 1 << self.rng.random_range(0..8);
+        }
+        let copies = 1 + usize::from(link.duplicate > 0.0 && self.rng.random::<f64>() < link.duplicate);
+        for _ in 0..copies {
+            let mut late = link.delay_s + link.jitter_s * self.rng.random::<f64>();
+            if link.reorder > 0.0 && self.rng.random::<f64>() < link.reorder {
+                late += 3.0 * link.delay_s + OVERTAKEN_S;
+            }
+            self.add(self.now + micros(late).max(1), What::Comes { to, from, bytes: bytes.clone() });
+        }
+    }
+
+    /// Writes how a node sees another where that has changed: the best of what it holds of the other's processes.
+    fn told(&mut self, node: usize, change: &Change) {
+        let session = match change {
+            Change::Joined(s)
+            | Change::Suspected(s)
+            | Change::Lives(s)
+            | Change::Died(s)
+            | Change::Left(s) => s,
+            Change::Replaced(_) | Change::Claimed(_) | Change::Settled(_) | Change::Refuted => return,
+            Change::StoodStill(_) => return,
+        };
+        let Some(of) = self.sessions.get(session).copied() else { return };
+        let Some(members) = &self.nodes[node].members else { return };
+        let processes = self.processes[of].iter();
+        let seen = processes.filter_map(|session| members.other(*session)).map(|member| member.state).min();
+        if self.nodes[node].seen[of] != seen {
+            self.nodes[node].seen[of] = seen;
+            let state = seen.map_or("unknown".to_owned(), |state| state.to_string());
+            self.write(Event::View { node, of, state });
+        }
+    }
+
+    fn named(fault: &Planned) -> impl Iterator<Item = usize> {
+        fault.on.iter().filter_map(|actor| if let Actor::Node(node) = actor { Some(*node) } else { None })
+    }
+
+    fn begins(&mut self, number: usize) {
+        let fault = &self.plan.faults[number];
+        self.write(Event::fault(fault, true));
+        if fault.kind.about() == About::Way {
+            return self.faults.begin(number, fault);
+        }
+        for node in Self::named(fault) {
+            match fault.kind {
+                Kind::Kill => {
+                    self.write(Event::Process { node, what: Life::Killed, how: None });
+                    self.write(Event::Process { node, what: Life::Ended, how: Some("killed".to_owned()) });
+                    self.down(node);
+                }
+                Kind::Stop => {
+                    self.write(Event::Process { node, what: Life::Stopping, how: None });
+                    let now = self.local(node);
+                    let out = self.nodes[node].members.as_mut().map(|members| members.leave(now));
+                    self.act(node, out.unwrap_or_default());
+                    self.write(Event::Process { node, what: Life::Ended, how: Some("left".to_owned()) });
+                    self.down(node);
+                }
+                _ => {
+                    self.write(Event::Process { node, what: Life::Paused, how: None });
+                    self.nodes[node].paused = true;
+                }
+            }
+        }
+    }
+
+    fn down(&mut self, node: usize) {
+        self.count(node);
+        self.nodes[node].timer += 1;
+        self.nodes[node].waiting.clear();
+    }
+
+    fn ends(&mut self, number: usize) {
+        let fault = &self.plan.faults[number];
+        self.write(Event::fault(fault, false));
+        if fault.kind.about() == About::Way {
+            return self.faults.end(number);
+        }
+        for node in Self::named(fault) {
+            if fault.kind != Kind::Pause {
+                let record = self.record(node);
+                self.start(node, record, &[]);
+                continue;
+            }
+            self.write(Event::Process { node, what: Life::Resumed, how: None });
+            self.nodes[node].paused = false;
+            // A process that goes on finds its timer due and its socket full.
+            let now = self.local(node);
+            let out = self.nodes[node].members.as_mut().map(|members| members.tick(now));
+            self.act(node, out.unwrap_or_default());
+            for (from, bytes) in std::mem::take(&mut self.nodes[node].waiting) {
+                self.comes(node, from, bytes);
+            }
+            self.schedule(node);
+        }
+    }
+}
--- a/crates/alderstile-lab/src/history.rs
+++ b/crates/alderstile-lab/src/history.rs
@@ -222,6 +222,11 @@
     /// Writes the last line; says whether all was written.
     pub fn finish(&self) -> io::Result<()> {
         self.add(Event::End {});
+        self.written()
+    }
+
+    /// Says whether all was written.
+    pub fn written(&self) -> io::Result<()> {
         self.file.borrow_mut().flush()?;
         self.failed.borrow_mut().take().map_or(Ok(()), Err)
     }
--- a/crates/alderstile-lab/src/processes/mod.rs
+++ b/crates/alderstile-lab/src/processes/mod.rs
@@ -17,7 +17,7 @@
 use tracing::{info, warn};
 
 use crate::history::{Event, History};
-use crate::schedule::{About, Actor, Kind, MOST_PROCESSES, Plan, Planned, Semantics};
+use crate::schedule::{About, Actor, Kind, MOST_PROCESSES, Members, Plan, Planned, Semantics};
 
 mod clients;
 mod discovery;
@@ -25,13 +25,11 @@
 mod nodes;
 mod ways;
 
-pub use ways::{Faults, Link};
-
 use clients::{Client, Front, Wanting};
 use discovery::{Discovery, Entry};
 use hosts::Host;
 use nodes::{Folder, Node};
-use ways::{Door, Ways};
+use ways::{Door, Mail, Ways};
 
 /// How long after a notice something new may still reach a draining host.
 const GRACE: Duration = Duration::from_millis(500);
@@ -39,6 +37,8 @@
 const STUCK: Duration = Duration::from_secs(60);
 /// What a run goes on after its clients, so that answers and ends that are due come.
 const SETTLE: Duration = Duration::from_secs(1);
+/// Where members' datagrams arrive.
+const MEMBERS: u16 = 7_946;
 /// A line of progress comes this often.
 const PROGRESS: Duration = Duration::from_secs(5);
 /// A host that was drained is up again this long after it ended.
@@ -178,6 +178,21 @@
     _addresses: Rc<Addresses>,
 }
 
+/// A member's file: others know it by its address at the lab.
+fn cluster(members: &Members, at: &Addresses, number: usize, nodes: usize) -> String {
+    let (listen, advertise) = (at.at(For::Node, number, MEMBERS), at.at(For::Way, number, MEMBERS));
+    let seeds: Vec<String> =
+        (0..nodes.min(3)).map(|node| format!("\"{}\"", at.at(For::Way, node, MEMBERS))).collect();
+    format!(
+        "name = \"lab\"\nlisten = \"{listen}\"\nadvertise = \"{advertise}\"\nseeds = [{}]\n\
+         keys = [\"{}\"]\nperiod_ms = {}\nsuspicion = {:?}\n",
+        seeds.join(", "),
+        "1ab".repeat(12) + "00",
+        members.period_ms,
+        members.suspicion,
+    )
+}
+
 /// The settings that all nodes have, in the form of a node's file.
 fn settings(plan: &Plan) -> Value {
     let classes: Vec<Value> = plan
@@ -217,7 +232,7 @@
             hosts: plan.hosts.count,
             classes,
             grace_s: GRACE.as_secs_f64(),
-            period_s: 0.0,
+            period_s: plan.members.as_ref().map_or(0.0, |members| members.period_ms as f64 / 1e3),
         });
         let ways = Ways::new(plan.ways.clone(), plan.seed);
         let tasks = RefCell::new(Vec::new());
@@ -254,6 +269,13 @@
             let mut settings = settings(plan);
             settings["my_zone"] = json!(number % plan.zones.len());
             let way = at.at(For::Way, number, 8_500);
+            let mut args = options.args.clone();
+            if let Some(members) = &plan.members {
+                let file = dir.join("cluster.toml");
+                std::fs::write(&file, cluster(members, &at, number, plan.nodes))
+                    .map_err(io_at(format!("n{number}")))?;
+                args.extend(["--cluster".to_owned(), file.display().to_string()]);
+            }
             let node = Rc::new(Node {
                 number,
                 program: options.program.clone(),
@@ -261,7 +283,7 @@
                 config: RefCell::new(nodes::config(&format!("n{number}"), listen, way, settings)),
                 listen,
                 admin: [at.at(For::Node, number, 9_001), at.at(For::Node, number, 9_002)],
-                args: options.args.clone(),
+                args,
                 history: history.clone(),
                 process: RefCell::default(),
                 started: std::cell::Cell::default(),
@@ -277,6 +299,21 @@
             door(Actor::Clients, Actor::Node(number), at.at(For::Front, number, 9_000), node.up.subscribe());
             nodes.push(node);
         }
+        if plan.members.is_some() {
+            let known: Vec<SocketAddr> = (0..plan.nodes).map(|node| at.at(For::Way, node, MEMBERS)).collect();
+            let own = (0..plan.nodes).map(|node| at.at(For::Node, node, MEMBERS)).collect();
+            let mail = Mail::open(ways.clone(), &known, own).await.map_err(io_at("ways of members"))?;
+            for node in 0..plan.nodes {
+                let mail = mail.clone();
+                spawn(
+                    format!("members' way to n{node}"),
+                    Box::pin(async move {
+                        mail.carry(node).await;
+                        Ok(())
+                    }),
+                );
+            }
+        }
         let front = Front::new((0..plan.nodes).map(|node| at.at(For::Front, node, 9_000)).collect());
         let logs = options.logs.clone();
         Ok(Lab { nodes, hosts, discovery, ways, front, history, tasks, folder, logs, _addresses: at })
@@ -295,6 +332,11 @@
         for node in 0..plan.nodes {
             tasks.push(spawn_local(self.front.clone().watch(node)));
         }
+        if plan.members.is_some() {
+            for node in &self.nodes {
+                tasks.push(spawn_local(node.clone().watch_view()));
+            }
+        }
         let began = Instant::now();
         let until = began + Duration::from_secs_f64(plan.length_s);
         let mut number = 0;
--- a/crates/alderstile-lab/src/processes/nodes.rs
+++ b/crates/alderstile-lab/src/processes/nodes.rs
@@ -1,6 +1,7 @@
 //! The processes of nodes: started, told, killed, and never left behind.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -22,6 +23,8 @@
 
 /// A process that answers no front after this long has failed to start.
 const START: Duration = Duration::from_secs(10);
+/// How often a process is asked how it sees the members.
+const LOOK: Duration = Duration::from_millis(50);
 /// How often a process that starts is asked.
 const ASK: Duration = Duration::from_millis(10);
 
@@ -147,6 +150,31 @@
         Ok(())
     }
 
+    /// Asks its process again and again how it sees the other members, and writes down what changes.
+    pub async fn watch_view(self: Rc<Self>) {
+        let mut seen: BTreeMap<usize, String> = BTreeMap::new();
+        let mut of = None;
+        loop {
+            sleep(LOOK).await;
+            let Some(process) = self.process.borrow().clone() else {
+                (seen, of) = (BTreeMap::new(), None);
+                continue;
+            };
+            // Another process begins with a view of its own.
+            if of != Some(process.pid) {
+                (seen, of) = (BTreeMap::new(), Some(process.pid));
+            }
+            // One that stands still answers nobody: what it sees is not known meanwhile.
+            let Ok(Ok((200, view))) = timeout(START, call(process.admin, "/members")).await else { continue };
+            for (node, state) in states(&view) {
+                if seen.get(&node) != Some(&state) {
+                    seen.insert(node, state.clone());
+                    self.history.add(Event::View { node: self.number, of: node, state });
+                }
+            }
+        }
+    }
+
     fn file(&self) -> PathBuf {
         self.dir.join("config.json")
     }
@@ -241,6 +269,23 @@
     Ok((status, text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default()))
 }
 
+/// How each node is seen: the best of what is told of its processes.
+fn states(view: &str) -> BTreeMap<usize, String> {
+    let view: Value = serde_json::from_str(view).unwrap_or_default();
+    let mut states: BTreeMap<usize, String> = BTreeMap::new();
+    // `alive`, `dead`, `left`, `suspect`: the living ones first.
+    let rank = |state: &str| ["alive", "suspect", "dead", "left"].iter().position(|known| *known == state);
+    for member in view["members"].as_array().into_iter().flatten() {
+        let name = member["name"].as_str().and_then(|name| name.strip_prefix('n')?.parse().ok());
+        let (Some(node), Some(state)) = (name, member["state"].as_str()) else { continue };
+        let best = states.entry(node).or_insert_with(|| state.to_owned());
+        if rank(state) < rank(best) {
+            state.clone_into(best);
+        }
+    }
+    states
+}
+
 /// A node's file.
 pub fn config(name: &str, listen: SocketAddr, discovery: SocketAddr, settings: Value) -> Value {
     json!({"name": name, "listen": listen, "discovery": discovery, "limits": {"sockets": 1024},
--- a/crates/alderstile-lab/src/processes/ways.rs
+++ b/crates/alderstile-lab/src/processes/ways.rs
@@ -6,7 +6,7 @@
 //! connections never come up: the forwarder's queue of connections is kept full, so that the system drops what knocks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,95 +16,25 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::schedule::{Actor, Kind, Planned, Ways as Base};
+use crate::links::{Faults, Link};
+use crate::schedule::{Actor, Ways as Base};
 
 /// A lost piece of a stream comes this much later: the shortest retransmission time of common systems.
 const RETRANSMIT: Duration = Duration::from_millis(200);
 /// Pieces of a stream that wait while a way is late or cut.
 const PIECES: usize = 64;
-/// The longest piece of a stream.
+/// The longest piece of a stream, and the longest datagram.
 const PIECE: usize = 16 << 10;
 /// Connections that wait at a forwarder's door.
 const BACKLOG: i32 = 128;
 /// A connection that has not come up by then waits in vain: the door is full.
 const FULL: Duration = Duration::from_millis(40);
 
-/// What a way does now.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Link {
-    /// Nothing passes.
-    pub cut: bool,
-    /// The share that is lost.
-    pub loss: f64,
-    /// How much later all comes, seconds.
-    pub delay_s: f64,
-    /// Up to so much later besides, seconds.
-    pub jitter_s: f64,
-    /// The share that comes twice.
-    pub duplicate: f64,
-    /// The share that is overtaken.
-    pub reorder: f64,
-    /// The share that is damaged.
-    pub damage: f64,
-}
-
-/// The faults of ways that hold now, without I/O: the emulated ways use it too.
-#[derive(Clone, Debug, Default)]
-pub struct Faults {
-    base: Base,
-    held: BTreeMap<usize, Planned>,
-}
-
-impl Faults {
-    /// No faults beyond these ways.
-    pub fn new(base: Base) -> Self {
-        Faults { base, held: BTreeMap::new() }
-    }
-
-    /// A fault begins, under a number of its own.
-    pub fn begin(&mut self, number: usize, fault: &Planned) {
-        if fault.kind == Kind::Heal {
-            self.held.clear();
-        } else {
-            self.held.insert(number, fault.clone());
-        }
-    }
-
-    /// It ends.
-    pub fn end(&mut self, number: usize) {
-        self.held.remove(&number);
-    }
-
-    /// What the way from one to the other does.
-    pub fn link(&self, from: Actor, to: Actor) -> Link {
-        let (delay_s, jitter_s) = (self.base.delay_ms / 1e3, self.base.jitter_ms / 1e3);
-        let mut link = Link { delay_s, jitter_s, loss: self.base.loss, ..Link::default() };
-        for fault in self.held.values() {
-            let forth = fault.from.contains(&from) && fault.to.contains(&to);
-            let back = fault.from.contains(&to) && fault.to.contains(&from);
-            if !(forth || (back && fault.kind == Kind::Cut)) {
-                continue;
-            }
-            match fault.kind {
-                Kind::Cut | Kind::CutOneWay => link.cut = true,
-                Kind::Loss => link.loss = 1.0 - (1.0 - link.loss) * (1.0 - fault.share),
-                Kind::Delay => link.delay_s += fault.ms / 1e3,
-                Kind::Jitter => link.jitter_s += fault.ms / 1e3,
-                Kind::Duplicate => link.duplicate = link.duplicate.max(fault.share),
-                Kind::Reorder => link.reorder = link.reorder.max(fault.share),
-                Kind::Damage => link.damage = link.damage.max(fault.share),
-                _ => {}
-            }
-        }
-        link
-    }
-}
-
 /// The ways of a run on processes.
 pub struct Ways {
     faults: RefCell<Faults>,
@@ -315,3 +245,58 @@
         read.as_ref().set_zero_linger().unwrap_or_default();
     }
 }
+
+/// The datagrams of all members. Each member is known to the others by an address of the lab's; what comes there
+/// goes on to the member's own from the sender's known one.
+pub struct Mail {
+    /// Each member's socket of the lab's.
+    known: Vec<Rc<UdpSocket>>,
+    /// Each member's own address.
+    own: Vec<SocketAddr>,
+    ways: Rc<Ways>,
+}
+
+impl Mail {
+    /// Opens the known addresses; `own` are the members' own ones.
+    pub async fn open(ways: Rc<Ways>, known: &[SocketAddr], own: Vec<SocketAddr>) -> io::Result<Rc<Self>> {
+        let mut sockets = Vec::new();
+        for at in known {
+            sockets.push(Rc::new(UdpSocket::bind(at).await?));
+        }
+        Ok(Rc::new(Mail { known: sockets, own, ways }))
+    }
+
+    /// Carries what comes for one member, until it is dropped.
+    pub async fn carry(self: Rc<Self>, to: usize) {
+        let mut data = vec![0; PIECE];
+        loop {
+            let Ok((length, from)) = self.known[to].recv_from(&mut data).await else {
+                // A member that is down refuses what was sent to it.
+                sleep(Duration::from_millis(1)).await;
+                continue;
+            };
+            let Some(sender) = self.own.iter().position(|own| *own == from) else { continue };
+            let link = self.ways.link(Actor::Node(sender), Actor::Node(to));
+            if link.cut || self.ways.chance() < link.loss {
+                continue;
+            }
+            let mut bytes = data[..length].to_vec();
+            if self.ways.chance() < link.damage && !bytes.is_empty() {
+                let at = (self.ways.chance() * bytes.len() as f64) as usize;
+                bytes[at] ^= 1 << ((self.ways.chance() * 8.0) as u32);
+            }
+            let copies = 1 + usize::from(self.ways.chance() < link.duplicate);
+            for _ in 0..copies {
+                let overtaken =
+                    if self.ways.chance() < link.reorder { 3.0 * link.delay_s + 0.01 } else { 0.0 };
+                let late = self.ways.late(&link) + Duration::from_secs_f64(overtaken);
+                let (mail, bytes) = (self.clone(), bytes.clone());
+                spawn_local(async move {
+                    sleep(late).await;
+                    // One that is lost on its last metre is lost.
+                    let _ = mail.known[sender].send_to(&bytes, mail.own[to]).await;
+                });
+            }
+        }
+    }
+}
--- a/crates/alderstile-lab/src/schedule.rs
+++ b/crates/alderstile-lab/src/schedule.rs
@@ -19,6 +19,8 @@
 pub const MOST_PROCESSES: usize = 20;
 /// Emulated nodes.
 pub const MOST_EMULATED: usize = 10_000;
+/// Times that one fault may come again.
+const MOST_TIMES: f64 = 100_000.0;
 /// The longest run, seconds: a day.
 const LONGEST_S: f64 = 86_400.0;
 
@@ -60,6 +62,8 @@
     pub length_s: Spanned<f64>,
     /// The nodes.
     pub nodes: Nodes,
+    /// The members, where the nodes know of each other.
+    pub members: Option<Spanned<Members>>,
     /// The hosts, of runs on processes.
     #[serde(default)]
     pub hosts: Hosts,
@@ -85,6 +89,28 @@
     pub zones: Vec<String>,
 }
 
+/// How nodes know of each other.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Members {
+    /// The protocol period, milliseconds.
+    pub period_ms: u64,
+    /// The least time of a suspicion, in periods for each power of ten of the number.
+    pub suspicion: f64,
+    /// Whether members trust themselves less when their probes fail; emulated only.
+    pub local_health: bool,
+    /// Whether all know all at the start; emulated only.
+    pub know_all: bool,
+    /// Clocks run faster or slower by up to this share; emulated only.
+    pub clock_rate: f64,
+}
+
+impl Default for Members {
+    fn default() -> Self {
+        Members { period_ms: 200, suspicion: 3.0, local_health: true, know_all: true, clock_rate: 0.0 }
+    }
+}
+
 /// The hosts of a run.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -154,6 +180,8 @@
     pub at_s: f64,
     /// How long it lasts; without, to the end of the run.
     pub for_s: Option<f64>,
+    /// Again each so many seconds, to the end of the run; shares are drawn anew.
+    pub every_s: Option<f64>,
     /// What it is.
     pub kind: Kind,
     /// Whom it hits: `n3`, `h2`, `zone:a`, `share:0.3`, `nodes`, `hosts`.
@@ -355,6 +383,8 @@
     pub nodes: usize,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// The members, where the nodes know of each other.
+    pub members: Option<Members>,
     /// The hosts.
     pub hosts: Hosts,
     /// The clients.
@@ -452,24 +482,51 @@
         for (i, fault) in schedule.faults.iter().enumerate() {
             let span = fault.span();
             let bad = |key: &str, what: String| at.error(span.clone(), &format!("faults[{i}].{key}"), what);
-            faults.push(
-                plan(fault.get_ref(), &parties, length_s, &mut rng).map_err(|(key, what)| bad(key, what))?,
-            );
+            let mut fault = fault.get_ref().clone();
+            if let Some(every) = fault.every_s
+                && !(every > 0.0 && every >= fault.for_s.unwrap_or(every) && length_s / every <= MOST_TIMES)
+            {
+                let what = format!("at least for_s is wanted, and at most {MOST_TIMES} times in the run");
+                return Err(bad("every_s", what));
+            }
+            let every = fault.every_s.unwrap_or(f64::INFINITY);
+            loop {
+                let planned = plan(&fault, &parties, length_s, &mut rng);
+                faults.push((i, planned.map_err(|(key, what)| bad(key, what))?));
+                fault.at_s += every;
+                if fault.at_s > length_s {
+                    break;
+                }
+            }
+        }
+        if let Some(members) = &schedule.members {
+            let (span, members) = (members.span(), members.get_ref());
+            let bad = |key: &str, what: &str| Err(at.error(span.clone(), &format!("members.{key}"), what));
+            if !(20..=60_000).contains(&members.period_ms) {
+                return bad("period_ms", "20 to 60000 is wanted");
+            }
+            if !(members.suspicion >= 1.0 && members.suspicion <= 100.0) {
+                return bad("suspicion", "1 to 100 is wanted");
+            }
+            if !(0.0..0.5).contains(&members.clock_rate) {
+                return bad("clock_rate", "a share from 0 to under 0.5 is wanted");
+            }
         }
         if let Some((i, key, what)) = contradiction(&faults) {
             return Err(at.error(schedule.faults[i].span(), &format!("faults[{i}].{key}"), what));
         }
-        faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        faults.sort_by(|(_, a), (_, b)| a.at_s.total_cmp(&b.at_s));
         Ok(Plan {
             title: schedule.title,
             seed,
             length_s,
             nodes: count,
             zones: schedule.nodes.zones,
+            members: schedule.members.map(Spanned::into_inner),
             hosts: schedule.hosts,
             clients: schedule.clients.into_iter().map(Spanned::into_inner).collect(),
             ways: schedule.ways,
-            faults,
+            faults: faults.into_iter().map(|(_, fault)| fault).collect(),
         })
     }
 
@@ -614,25 +671,25 @@
     Ok(Planned { at_s: fault.at_s, for_s: fault.for_s, kind, on, from, to, share, ms, hosts })
 }
 
-/// Faults that can't both be: a party that is away is told to do something else.
-fn contradiction(faults: &[Planned]) -> Option<(usize, &'static str, String)> {
+/// Faults that can't both be: a party that is away is told to do something else. Each fault with its place in the file.
+fn contradiction(faults: &[(usize, Planned)]) -> Option<(usize, &'static str, String)> {
     let away = |fault: &Planned| {
         matches!(
             fault.kind,
             Kind::Kill | Kind::Stop | Kind::Pause | Kind::Replace | Kind::HostKill | Kind::HostDrain
         )
     };
-    let until = |fault: &Planned| {
+    let mut by_time: Vec<&(usize, Planned)> = faults.iter().filter(|(_, fault)| away(fault)).collect();
+    by_time.sort_by(|(_, a), (_, b)| a.at_s.total_cmp(&b.at_s));
+    let mut until: std::collections::BTreeMap<Actor, (f64, Kind)> = std::collections::BTreeMap::new();
+    for (i, fault) in by_time {
+        // A replacement takes no time that the schedule knows.
         let longest = if fault.kind == Kind::Replace { 0.0 } else { f64::INFINITY };
-        fault.at_s + fault.for_s.unwrap_or(longest)
-    };
-    for (i, later) in faults.iter().enumerate().filter(|(_, fault)| away(fault)) {
-        for earlier in faults.iter().enumerate().filter(|(j, f)| *j != i && away(f)).map(|(_, f)| f) {
-            let both = earlier.on.intersection(&later.on).next();
-            if let Some(actor) = both.filter(|_| (earlier.at_s..until(earlier)).contains(&later.at_s)) {
-                let what = format!("{actor} is already under {} then", earlier.kind);
-                return Some((i, "on", what));
+        for actor in &fault.on {
+            if let Some((_, kind)) = until.get(actor).filter(|(until, _)| *until > fault.at_s) {
+                return Some((*i, "on", format!("{actor} is already under {kind} then")));
             }
+            until.insert(*actor, (fault.at_s + fault.for_s.unwrap_or(longest), fault.kind));
         }
     }
     None
--- a/crates/alderstile-lab/tests/checkers.rs
+++ b/crates/alderstile-lab/tests/checkers.rs
@@ -91,3 +91,12 @@
 fn a_process_that_ends_by_itself_is_found() {
     assert!(broken_by("crash").contains(&"process"));
 }
+
+#[test]
+fn a_member_that_holds_a_healthy_one_dead_is_found() {
+    let schedule = SCHEDULE.replace("[[faults]]", "[members]\nperiod_ms = 200\n\n[[faults]]");
+    let report = play(&schedule, broken(), &["--break", "sees-dead"]).expect("a run");
+    assert!(report.breaches.iter().any(|breach| breach.rule == "members"), "{report:?}");
+    let kept = play(&schedule, node(), &[]).expect("a run");
+    assert!(kept.kept(), "{:?}", kept.breaches);
+}
--- /dev/null
+++ b/crates/alderstile-lab/tests/members.rs
@@ -0,0 +1,129 @@
+//! Members that know of each other, in simulated time and as processes.
+
+mod support;
+
+use std::thread;
+
+use alderstile_lab::check::{Report, check};
+use alderstile_lab::emulated;
+use alderstile_lab::history::{History, read};
+use alderstile_lab::schedule::Plan;
+use support::{Folder, node, play};
+
+const FAULTS: &str = r#"
+[[faults]]
+at_s = 3.0
+kind = "kill"
+on = ["n4"]
+[[faults]]
+at_s = 6.0
+for_s = 0.3
+kind = "pause"
+on = ["n1"]
+[[faults]]
+at_s = 7.0
+for_s = 3.0
+kind = "cut"
+from = ["n0", "n2"]
+to = ["n1", "n3", "n4", "n5"]
+[[faults]]
+at_s = 8.0
+for_s = 4.0
+kind = "duplicate"
+share = 0.3
+from = ["nodes"]
+to = ["nodes"]
+[[faults]]
+at_s = 8.0
+for_s = 4.0
+kind = "damage"
+share = 0.1
+from = ["nodes"]
+to = ["nodes"]
+[[faults]]
+at_s = 11.0
+for_s = 1.0
+kind = "stop"
+on = ["n5"]
+"#;
+
+fn schedule(nodes: usize, length: f64, faults: &str) -> String {
+    format!(
+        "title = \"members\"\nlength_s = {length:?}\nnodes = {{ count = {nodes}, zones = [\"a\", \"b\"] }}\n\
+         hosts = {{ count = 2 }}\n[members]\nperiod_ms = 200\n[ways]\ndelay_ms = 0.5\njitter_ms = 1.0\n\
+         [[clients]]\nclass = \"chat\"\nsemantics = \"retryable\"\ncount = 8\n{faults}"
+    )
+}
+
+/// The history's text and the report of an emulated run.
+fn emulate(schedule: &str, seed: u64) -> (Vec<u8>, Report) {
+    let plan = Plan::parse("test", schedule, Some(seed)).expect("a fine schedule");
+    let out = Folder::new();
+    let path = out.0.join("history.jsonl");
+    let history = History::create(&path).expect("a file");
+    emulated::run(&plan, &history).expect("a run");
+    history.written().expect("written");
+    (std::fs::read(&path).expect("a file"), check(&read(&path).expect("whole")))
+}
+
+#[test]
+fn the_same_schedule_and_seed_give_the_same_history_to_the_byte() {
+    let one = schedule(40, 30.0, FAULTS);
+    let runs: Vec<_> = (0..4)
+        .map(|_| {
+            thread::spawn({
+                let one = one.clone();
+                move || emulate(&one, 7).0
+            })
+        })
+        .collect();
+    let first = emulate(&one, 7).0;
+    for run in runs {
+        assert!(run.join().expect("a run") == first);
+    }
+    assert!(emulate(&one, 8).0 != first, "and another seed another one");
+}
+
+#[test]
+fn emulated_members_hear_of_deaths_splits_and_returns_in_their_time() {
+    for seed in 1..=20 {
+        let (_, report) = emulate(&schedule(40, 30.0, FAULTS), seed);
+        assert!(report.kept(), "seed {seed}: {:?}", report.breaches);
+        let views = report.views.expect("views");
+        assert_eq!(views.known_s.len(), 1, "seed {seed}: all know of the one that was killed");
+    }
+}
+
+#[test]
+fn emulated_members_that_know_nobody_all_find_each_other() {
+    let alone = schedule(40, 30.0, "").replace("period_ms = 200", "period_ms = 200\nknow_all = false");
+    let (history, report) = emulate(&alone, 3);
+    assert!(report.kept(), "{:?}", report.breaches);
+    let text = String::from_utf8(history).expect("text");
+    assert_eq!(text.matches("\"state\":\"alive\"").count(), 40 * 39, "each has heard of each");
+}
+
+#[test]
+fn clocks_that_run_at_different_rates_cost_nobody_its_life() {
+    let rates = schedule(30, 60.0, "").replace("period_ms = 200", "period_ms = 200\nclock_rate = 0.2");
+    let (_, report) = emulate(&rates, 5);
+    assert!(report.kept() && report.views.expect("views").false_deaths == 0, "{:?}", report.breaches);
+}
+
+#[test]
+fn processes_see_each_other_through_a_kill_a_pause_a_split_and_a_planned_stop() {
+    let report = play(&schedule(6, 16.0, FAULTS), node(), &[]).expect("a run");
+    assert!(report.kept(), "{:#?}", report.breaches);
+    assert!(report.served > Some(0.5), "{report:?}");
+    assert_eq!(report.views.expect("views").known_s.len(), 1, "all know of the one that was killed");
+}
+
+#[test]
+fn a_replacement_is_the_same_member() {
+    let faults = "[[faults]]\nat_s = 2.0\nkind = \"replace\"\non = [\"n1\"]\n\
+                  [[faults]]\nat_s = 5.0\nkind = \"replace\"\non = [\"n1\"]\n";
+    let report = play(&schedule(3, 9.0, faults), node(), &[]).expect("a run");
+    assert!(report.kept(), "{:#?}", report.breaches);
+    let views = report.views.expect("views");
+    assert_eq!((views.false_deaths, views.known_s.len()), (0, 0), "nobody held it dead: {views:?}");
+}
--- a/crates/alderstile-lab/tests/schedule.rs
+++ b/crates/alderstile-lab/tests/schedule.rs
@@ -38,6 +38,15 @@
         ("kind = \"list_lies\"\non = [\"n0\"]", 8, "faults[0].hosts", "needs them"),
         ("kind = \"kill\"\non = [\"n0\"]\nwhen = 3", 12, "when", "unknown field"),
         ("kind = \"kill\"\non = [\"n0\"]\nfor_s = nan", 12, "faults[0].for_s", "above 0"),
+        (
+            "kind = \"kill\"\non = [\"n0\"]\nfor_s = 3.0\nevery_s = 2.0",
+            13,
+            "faults[0].every_s",
+            "at least for_s",
+        ),
+        ("kind = \"kill\"\non = [\"n0\"]\nevery_s = 1e-9", 12, "faults[0].every_s", "times in the run"),
+        ("kind = \"kill\"\non = [\"n0\"]\n[members]\nperiod_ms = 1", 13, "members.period_ms", "60000"),
+        ("kind = \"kill\"\non = [\"n0\"]\n[members]\nclock_rate = 0.7", 13, "members.clock_rate", "0.5"),
     ] {
         let error = refused(&with_fault(fault));
         let (place, rest) = error.split_once(": ").expect("a place");
--- a/crates/alderstile-node/src/admin.rs
+++ b/crates/alderstile-node/src/admin.rs
@@ -78,6 +78,7 @@
 enum Place {
     Ready,
     Counters,
+    Members,
     /// A host's id, and whether it is to be used.
     Host(String, bool),
 }
@@ -86,6 +87,7 @@
     match path {
         "/control/ready" => Some(Place::Ready),
         "/control/counters" => Some(Place::Counters),
+        "/members" => Some(Place::Members),
         _ => {
             let (id, word) = path.strip_prefix("/control/hosts/")?.rsplit_once('/')?;
             let online = match word {
@@ -118,6 +120,12 @@
         Place::Ready if operators.ready() => say(StatusCode::OK, "ready\n"),
         Place::Ready => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         Place::Counters => say(StatusCode::OK, operators.figures()),
+        // Without a cluster there is no such path.
+        Place::Members => match operators.cluster().map(|cluster| serde_json::to_string(&cluster.view())) {
+            Some(Ok(view)) => say(StatusCode::OK, view),
+            Some(Err(error)) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+            None => say(StatusCode::NOT_FOUND, "no such path\n"),
+        },
         Place::Host(host, online) => match operators.maintain(&host, online).await {
             Ok(true) => say(StatusCode::OK, if online { "online\n" } else { "offline\n" }),
             Ok(false) => say(StatusCode::NOT_FOUND, "no such host\n"),
--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -16,6 +16,10 @@
 use crate::hello::Hello;
 use crate::list::List;
 
+mod cluster;
+
+pub use cluster::{ClusterConfig, ClusterError};
+
 /// Descriptors that are no connections of clients or to hosts: the runtime's, the listeners, discovery, peers, logs.
 const OWN_DESCRIPTORS: usize = 24;
 /// Callers at the operators' address at once; their descriptors are kept for them.
--- /dev/null
+++ b/crates/alderstile-node/src/config/cluster.rs
@@ -0,0 +1,122 @@
+//! The cluster's file (TOML): who the other members are, and what this one goes by.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use alderstile::interface::Micros;
+use alderstile_cluster::members::{self, MAX_CLUSTER, MIN_KEY, Seal};
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Why a cluster's file can't be used.
+#[derive(Debug, Error)]
+pub enum ClusterError {
+    /// It can't be read.
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    /// It is not TOML, or a key is unknown, missing or of another kind.
+    #[error("{0}: {1}")]
+    Toml(String, toml::de::Error),
+    /// A key has a value that can't be used.
+    #[error("{0}: the key {1}: {2}")]
+    Key(String, String, String),
+}
+
+/// The file's form.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    advertise: Option<SocketAddr>,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    keys: Vec<String>,
+    period_ms: Option<u64>,
+    suspicion: Option<f64>,
+}
+
+/// What the cluster's file says.
+#[derive(Clone)]
+pub struct ClusterConfig {
+    /// The cluster's name.
+    pub name: String,
+    /// Where datagrams of other members arrive.
+    pub listen: SocketAddr,
+    /// Where others are told to send them.
+    pub advertise: SocketAddr,
+    /// Whom a member asks that knows nobody.
+    pub seeds: Vec<SocketAddr>,
+    /// The cluster's name and keys, on every datagram.
+    pub seal: Seal,
+    /// What the members go by.
+    pub settings: members::Settings,
+}
+
+impl ClusterConfig {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self, ClusterError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| ClusterError::File(shown.clone(), error))?;
+        Self::parse(&shown, &text)
+    }
+
+    /// Checks a text.
+    pub fn parse(shown: &str, text: &str) -> Result<Self, ClusterError> {
+        let file: File = toml::from_str(text).map_err(|error| ClusterError::Toml(shown.to_owned(), error))?;
+        let bad = |key: &str, what: String| ClusterError::Key(shown.to_owned(), key.to_owned(), what);
+        if file.name.is_empty() || file.name.len() > MAX_CLUSTER {
+            return Err(bad("name", format!("1 to {MAX_CLUSTER} bytes are wanted")));
+        }
+        let mut keys = Vec::new();
+        for (i, key) in file.keys.iter().enumerate() {
+            let key = key_bytes(key).filter(|key| key.len() >= MIN_KEY);
+            let wanted = || {
+                bad(&format!("keys[{i}]"), format!("at least {} hexadecimal digits are wanted", 2 * MIN_KEY))
+            };
+            keys.push(key.ok_or_else(wanted)?);
+        }
+        if keys.is_empty() || keys.len() > 2 {
+            return Err(bad(
+                "keys",
+                "one key is wanted, or two while one takes the other's place".to_owned(),
+            ));
+        }
+        if file.listen.port() == 0 {
+            return Err(bad("listen", "a port is wanted that others can know".to_owned()));
+        }
+        let period_ms = file.period_ms.unwrap_or(1_000);
+        if !(50..=60_000).contains(&period_ms) {
+            return Err(bad("period_ms", format!("{period_ms}: 50 to 60000 is wanted")));
+        }
+        let mut settings = members::Settings::with_period(Micros::from_millis(period_ms));
+        if let Some(suspicion) = file.suspicion {
+            if !(1.0..=100.0).contains(&suspicion) {
+                return Err(bad("suspicion", format!("{suspicion}: 1 to 100 is wanted")));
+            }
+            settings.suspicion = suspicion;
+        }
+        let seal = Seal::new(&file.name, &keys).ok_or_else(|| bad("keys", "can't be used".to_owned()))?;
+        let advertise = file.advertise.unwrap_or(file.listen);
+        if advertise.ip().is_unspecified() || advertise.port() == 0 {
+            return Err(bad("advertise", format!("{advertise}: an address is wanted that others can reach")));
+        }
+        Ok(ClusterConfig {
+            name: file.name,
+            listen: file.listen,
+            advertise,
+            seeds: file.seeds,
+            seal,
+            settings,
+        })
+    }
+}
+
+fn key_bytes(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    let pair = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    if !digits.len().is_multiple_of(2) || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    digits.chunks(2).map(pair).collect()
+}
--- a/crates/alderstile-node/src/counters.rs
+++ b/crates/alderstile-node/src/counters.rs
@@ -4,6 +4,8 @@
 
 use std::fmt::Write;
 
+use alderstile_cluster::members::Counts;
+
 /// How a request ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -45,6 +47,8 @@
     pub hosts_listed: usize,
     /// Listed hosts that the node avoids now, by hand or by choice.
     pub hosts_down: usize,
+    /// The members of the cluster, where the node is one.
+    pub members: Option<Counts>,
 }
 
 impl Counters {
@@ -83,6 +87,24 @@
         line("inflight", gauges.inflight as u64, 'g');
         line("hosts_listed", gauges.hosts_listed as u64, 'g');
         line("hosts_down", gauges.hosts_down as u64, 'g');
+        if let Some(members) = gauges.members {
+            line("members_alive", members.alive as u64, 'g');
+            line("members_suspect", members.suspect as u64, 'g');
+            line("members_dead", members.dead as u64, 'g');
+            line("members_claimed", members.claimed as u64, 'g');
+            line("members_health", u64::from(members.health), 'g');
+            let figures = members.figures;
+            line("members_sent", figures.sent, 'c');
+            line("members_sent_bytes", figures.sent_bytes, 'c');
+            line("members_taken", figures.taken, 'c');
+            line("members_foreign", figures.foreign, 'c');
+            line("members_damaged", figures.damaged, 'c');
+            line("members_newer", figures.newer, 'c');
+            line("members_stale", figures.stale, 'c');
+            line("members_replayed", figures.replayed, 'c');
+            line("members_held_back", figures.held_back, 'c');
+            line("members_refuted", figures.refuted, 'c');
+        }
         text
     }
 }
--- a/crates/alderstile-node/src/hello.rs
+++ b/crates/alderstile-node/src/hello.rs
@@ -32,4 +32,20 @@
     /// last event in microseconds, requests, attempts. Nothing where that is not known: a process of an older version.
     #[serde(default)]
     pub spent: Option<Vec<(u64, u64, u32, u32)>>,
+    /// This node as a member of its cluster, where it is one.
+    #[serde(default)]
+    pub member: Option<MemberWord>,
+}
+
+/// What a process that goes on as the same member is to know.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct MemberWord {
+    /// The member's session.
+    pub session: u64,
+    /// Its last word about itself.
+    pub incarnation: u64,
+    /// The number of its last datagram.
+    pub counter: u64,
+    /// Addresses of members that live.
+    pub known: Vec<SocketAddr>,
 }
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod admin;
 pub mod buffer;
+pub mod client;
 pub mod clients;
 pub mod clock;
+pub mod cluster;
 pub mod config;
 pub mod counters;
 pub mod decisions;
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -1,14 +1,16 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
-use alderstile_node::config::Config;
+use alderstile_node::cluster::Cluster;
+use alderstile_node::config::{ClusterConfig, Config};
 use alderstile_node::node::Node;
 use alderstile_node::peers::{Peers, Way};
-use alderstile_node::{admin, discovery, listener, pass, reload, session, shutdown, upgrade};
+use alderstile_node::{admin, client, discovery, listener, pass, reload, session, shutdown, upgrade};
 use clap::{Parser, Subcommand, ValueEnum};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -34,6 +36,9 @@
     /// The configuration's file
     #[arg(long, global = true)]
     config: Option<PathBuf>,
+    /// The cluster's file; without it the node knows of no others
+    #[arg(long, global = true)]
+    cluster: Option<PathBuf>,
     #[command(subcommand)]
     command: Command,
 }
@@ -52,6 +57,15 @@
     Serve,
     /// Read and check the configuration, and say what is wrong with it
     CheckConfig,
+    /// Show the members of the cluster, as a running node sees them
+    Members {
+        /// The node's operators' address; without, the configuration's
+        #[arg(long)]
+        admin: Option<SocketAddr>,
+        /// As the node tells it, one JSON object
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the version
     Version,
 }
@@ -71,14 +85,19 @@
             println!("alderstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig => load(path).map(|config| {
+        Command::Members { admin, json } => members(admin, path, json),
+        Command::CheckConfig => load(path).and_then(|config| {
+            let cluster = load_cluster(args.cluster.as_deref())?;
+            let cluster =
+                cluster.map(|c| format!(", a member of {} at {}", c.name, c.listen)).unwrap_or_default();
             let shadow = if config.shadow.is_some() { ", a second instance watches" } else { "" };
             let (name, listen, classes) = (&config.name, config.listen, config.classes.len());
             let operators =
                 config.admin_addr.map(|address| format!(", operators at {address}")).unwrap_or_default();
-            println!("{name}: listens on {listen}{operators}, {classes} classes{shadow}: fine");
+            println!("{name}: listens on {listen}{operators}, {classes} classes{shadow}{cluster}: fine");
+            Ok(())
         }),
-        Command::Serve => serve(path),
+        Command::Serve => serve(path, args.cluster.as_deref()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -93,6 +112,25 @@
     Config::load(path, env).map_err(|error| error.to_string())
 }
 
+fn load_cluster(path: Option<&Path>) -> Result<Option<ClusterConfig>, String> {
+    path.map(ClusterConfig::load).transpose().map_err(|error| error.to_string())
+}
+
+/// Asks a running node for its members and prints them.
+fn members(admin: Option<SocketAddr>, path: Option<&Path>, json: bool) -> Result<(), String> {
+    let admin = match admin {
+        Some(admin) => admin,
+        None => load(path)?.admin_addr.ok_or("where? name the operators' address with --admin")?,
+    };
+    let text = client::get(admin, "/members").map_err(|error| format!("{admin}: {error}"))?;
+    if json {
+        println!("{text}");
+    } else {
+        print!("{}", client::table(&text).map_err(|error| format!("{admin}: {error}"))?);
+    }
+    Ok(())
+}
+
 fn env(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -144,7 +182,8 @@
 }
 
 /// Serves until a signal comes and all clients have been told to move.
-fn serve(path: Option<&Path>) -> Result<(), String> {
+fn serve(path: Option<&Path>, cluster_path: Option<&Path>) -> Result<(), String> {
+    let cluster = load_cluster(cluster_path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
     LocalSet::new().block_on(&runtime, async {
@@ -163,6 +202,27 @@
             None => load(path)?,
         };
         let node = Rc::new(Node::new(config));
+        if let Some(cluster) = &cluster {
+            let before = predecessor.as_ref().and_then(|before| before.hello.member.as_ref());
+            let member = Rc::new(
+                Cluster::new(&node.config(), cluster, before).map_err(|what| format!("cluster: {what}"))?,
+            );
+            node.operators.join(member.clone());
+            if predecessor.is_none() {
+                let socket = member.bind(|| false).await;
+                let socket =
+                    socket.map_err(|error| format!("cluster: listen {}: {error}", cluster.listen))?;
+                spawn_local(member.run(socket));
+            } else {
+                let node = node.clone();
+                spawn_local(async move {
+                    match member.bind(|| node.process.linked().is_some()).await {
+                        Ok(socket) => member.run(socket).await,
+                        Err(error) => warn!("cluster: {error}; serving without the other members"),
+                    }
+                });
+            }
+        }
         if let Some(address) = node.config().admin_addr {
             let listener =
                 listener::bind(address).map_err(|error| format!("admin_addr {address}: {error}"))?;
@@ -198,7 +258,10 @@
             tokio::select! {
                 _ = term.recv() => break,
                 _ = int.recv() => break,
-                Some(()) = hangup.recv() => reload::reload(&node, path, env),
+                Some(()) = hangup.recv() => {
+                    reload::reload(&node, path, env);
+                    reload::reload_keys(&node, cluster_path);
+                }
             }
         }
         shutdown::run(node, accepting).await;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -46,6 +46,7 @@
     pub fn renew(&self, config: Config) {
         self.clients.count(|counters| counters.classes(&config.classes));
         self.decisions.renew(&config);
+        self.operators.cluster().iter().for_each(|cluster| cluster.renew(&config));
         let discovery = config.discovery;
         self.config.set(config);
         if discovery != self.decisions.discovery() {
@@ -77,6 +78,7 @@
             hosts: self.operators.hosts().into_iter().collect(),
             ids: self.clients.known_ids(),
             held: self.clients.held(),
+            member: self.operators.cluster().map(|cluster| cluster.word()),
             spent: spent.map(|parts| {
                 parts.iter().map(|part| (part.from.0, part.to.0, part.taken, part.further)).collect()
             }),
--- a/crates/alderstile-node/src/operators.rs
+++ b/crates/alderstile-node/src/operators.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use crate::clients::Clients;
+use crate::cluster::Cluster;
 use crate::config::Current;
 use crate::counters::Gauges;
 use crate::decisions::Decisions;
@@ -21,6 +22,7 @@
     clients: Rc<Clients>,
     process: Rc<Process>,
     kept: RefCell<Kept>,
+    cluster: RefCell<Option<Rc<Cluster>>>,
 }
 
 impl Operators {
@@ -36,7 +38,8 @@
         for (host, stand) in kept.hosts() {
             decisions.decide(|facade, now| stand.apply(facade, now, server_id(host)));
         }
-        Operators { config, decisions, clients, process, kept: RefCell::new(kept) }
+        let (kept, cluster) = (RefCell::new(kept), RefCell::default());
+        Operators { config, decisions, clients, process, kept, cluster }
     }
 
     /// Whether clients may be sent here.
@@ -44,6 +47,16 @@
         self.decisions.can_serve() && self.process.listens().is_some() && !self.process.is_leaving()
     }
 
+    /// This node is a member of a cluster from now on.
+    pub fn join(&self, cluster: Rc<Cluster>) {
+        self.cluster.replace(Some(cluster));
+    }
+
+    /// This node as a member, where it is one.
+    pub fn cluster(&self) -> Option<Rc<Cluster>> {
+        self.cluster.borrow().clone()
+    }
+
     /// Where hosts stand that operators have named.
     pub fn hosts(&self) -> Vec<(String, Stand)> {
         self.kept.borrow().hosts().map(|(host, stand)| (host.to_owned(), stand)).collect()
@@ -55,6 +68,7 @@
             inflight: self.clients.inflight(),
             hosts_listed: facade.maintenance().listed(),
             hosts_down: facade.avoided(now),
+            members: self.cluster().map(|cluster| cluster.counts()),
         });
         self.clients.figures(gauges)
     }
--- a/crates/alderstile-node/src/reload.rs
+++ b/crates/alderstile-node/src/reload.rs
@@ -7,7 +7,7 @@
 
 use tracing::{error, info};
 
-use crate::config::Config;
+use crate::config::{ClusterConfig, Config};
 use crate::node::Node;
 
 /// Reads the file again. A faulty one changes nothing, and its fault is logged. What the environment says of
@@ -32,3 +32,15 @@
         }
     }
 }
+
+/// Reads the cluster's file again, of which only the keys can change while the node runs.
+pub fn reload_keys(node: &Node, path: Option<&Path>) {
+    let Some((path, cluster)) = path.zip(node.operators.cluster()) else { return };
+    match ClusterConfig::load(path) {
+        Ok(config) => {
+            cluster.renew_keys(&config);
+            info!("reload: the cluster's keys are taken; all else of its file waits for the next start");
+        }
+        Err(error) => error!("reload: the cluster's file is turned down: {error}; the keys held go on"),
+    }
+}
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -40,6 +40,7 @@
         }
         node.process.leave();
         node.process.left.notify_one();
+        node.operators.cluster().iter().for_each(|cluster| cluster.let_go());
         node.process.linked().iter().for_each(|link| link.tell_closed());
         // A successor that is told to leave first has nobody to pass them on to: the one that serves takes none back.
         if node.process.linked().is_some_and(|link| link.successor) {
@@ -65,6 +66,12 @@
     while node.clients.descriptors() > 0 {
         sleep(LOOK).await;
     }
+    // Where another process goes on as the same member, nothing of it leaves.
+    if !node.process.shared()
+        && let Some(cluster) = node.operators.cluster()
+    {
+        cluster.leave().await;
+    }
     node.decisions.tell_differences();
     info!("left: nothing is held any more");
 }
