--- a/crates/alderstile-lab/src/check.rs
+++ b/crates/alderstile-lab/src/check.rs
@@ -194,24 +194,19 @@
         let all: Vec<Actor> = all.chain([Actor::Discovery, Actor::Clients]).collect();
         for (from_t, to_t, event) in spans {
             let Event::Fault { kind, on, from, to, .. } = event else { continue };
+            if matches!(kind, Kind::Cut | Kind::CutOneWay) {
+                let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
+                found.cuts.push((from_t, to_t, from, to));
+            }
             match kind.about() {
                 About::Host => {
                     // A host that was drained is up again a second later, and tells nobody but the list.
                     let until = if *kind == Kind::HostDrain { to_t + 1.5 } else { to_t };
                     on.iter().for_each(|host| found.parties.entry(*host).or_default().push((from_t, until)));
                 }
-                // Members are many, and their ways are looked up by side.
-                About::Way if hosts == 0 => {
-                    if matches!(kind, Kind::Cut | Kind::CutOneWay) {
-                        let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
-                        found.cuts.push((from_t, to_t, from, to));
-                    }
-                }
+                // Members are many: whom a cut parts is looked up by side.
+                About::Way if hosts == 0 => {}
                 About::Way => {
-                    if matches!(kind, Kind::Cut | Kind::CutOneWay) {
-                        let (from, to) = (from.iter().copied().collect(), to.iter().copied().collect());
-                        found.cuts.push((from_t, to_t, from, to));
-                    }
                     let (from, to): (BTreeSet<_>, BTreeSet<_>) = (from.iter().collect(), to.iter().collect());
                     for a in &all {
                         for b in &all {
--- a/crates/alderstile-lab/src/emulated/mod.rs
+++ b/crates/alderstile-lab/src/emulated/mod.rs
@@ -6,12 +6,14 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
 
 use alderstile::interface::Micros;
 use alderstile_cluster::members::{Change, Members, Out, Record, Seal, Session, Settings, State};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use thiserror::Error;
+use tracing::info;
 
 use crate::history::{Event, History, Life};
 use crate::links::Faults;
@@ -22,6 +24,9 @@
 /// A datagram that is overtaken comes this much later, and three times its way's delay.
 const OVERTAKEN_S: f64 = 0.01;
 
+/// A line of progress comes this often.
+const PROGRESS: Duration = Duration::from_secs(5);
+
 /// Why a schedule can't be emulated.
 #[derive(Debug, Error)]
 pub enum EmulatedError {
@@ -180,11 +185,18 @@
             }
         }
         let end = micros(self.plan.length_s);
+        // For the person who waits alone: what happens does not hang on it.
+        let (mut told, mut events) = (Instant::now(), 0u64);
         while let Some(Reverse((at, _, what))) = self.queue.pop() {
             if at > end {
                 break;
             }
             self.now = at;
+            events += 1;
+            if events.is_multiple_of(1 << 16) && told.elapsed() > PROGRESS {
+                told = Instant::now();
+                info!("{:.0} s of {:.0}", self.seconds(), self.plan.length_s);
+            }
             match what {
                 What::Comes { to, from, bytes } => self.comes(to, from, bytes),
                 What::Tick { node, number } => self.tick(node, number),
--- a/crates/alderstile-lab/src/processes/mod.rs
+++ b/crates/alderstile-lab/src/processes/mod.rs
@@ -101,6 +101,10 @@
     if plan.hosts.count == 0 {
         return Err(RunError::Nothing("hosts"));
     }
+    // A node has at least one class of requests.
+    if plan.clients.is_empty() {
+        return Err(RunError::Nothing("clients"));
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(io_at("runtime"))?;
     let local = LocalSet::new();
