--- a/crates/alderstile-lab/src/check.rs
+++ b/crates/alderstile-lab/src/check.rs
@@ -174,6 +174,16 @@
                         _ => {}
                     }
                 }
+                // It disturbs nothing, and ends what did.
+                Event::Fault { kind: Kind::Heal, begins: true, .. } => {
+                    faults.retain(|&(from, event)| {
+                        let way = matches!(event, Event::Fault { kind, .. } if kind.about() == About::Way);
+                        if way {
+                            spans.push((from, line.t, event));
+                        }
+                        !way
+                    });
+                }
                 Event::Fault { begins: true, .. } => faults.push((line.t, &line.what)),
                 Event::Fault { kind: Kind::Heal, .. } => {}
                 event @ Event::Fault { kind, on, from, to, .. } => {
--- a/crates/alderstile-lab/tests/checkers.rs
+++ b/crates/alderstile-lab/tests/checkers.rs
@@ -100,3 +100,12 @@
     let kept = play(&schedule, node(), &[]).expect("a run");
     assert!(kept.kept(), "{:?}", kept.breaches);
 }
+
+#[test]
+fn what_was_healed_excuses_nothing_after_it() {
+    // Nobody reaches a node before the ways are whole again, so that all that is found comes after it.
+    let cut = "[[faults]]\nat_s = 0.0\nkind = \"cut\"\nfrom = [\"clients\"]\nto = [\"nodes\"]\n";
+    let healed = format!("{SCHEDULE}\n{cut}[[faults]]\nat_s = 1.0\nkind = \"heal\"\n");
+    let report = play(&healed, broken(), &["--break", "closes"]).expect("a run");
+    assert!(report.breaches.iter().any(|breach| breach.rule == "one answer"), "{report:?}");
+}
