--- a/crates/alderstile-lab/src/processes/mod.rs
+++ b/crates/alderstile-lab/src/processes/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -471,7 +471,7 @@
                 }
             }
         }
-        info!("{} is taken away", Path::display(self.folder.path()));
+        info!("{} is taken away", self.folder.path().display());
     }
 }
 
--- a/crates/alderstile-node/src/cluster.rs
+++ b/crates/alderstile-node/src/cluster.rs
@@ -72,7 +72,6 @@
     listen: SocketAddr,
     members: RefCell<Members>,
     began: Instant,
-    wake: Notify,
     let_go: Notify,
     leaving: Notify,
     left: Notify,
@@ -115,7 +114,6 @@
             listen,
             members,
             began,
-            wake: Notify::new(),
             let_go: Notify::new(),
             leaving: Notify::new(),
             left: Notify::new(),
@@ -160,7 +158,6 @@
                     let out = self.members.borrow_mut().tick(self.now());
                     self.act(&socket, out);
                 }
-                () = self.wake.notified() => {}
                 () = self.leaving.notified() => {
                     let out = self.members.borrow_mut().leave(self.now());
                     self.act(&socket, out);
