--- a/crates/alderstile-cluster/src/members/mod.rs
+++ b/crates/alderstile-cluster/src/members/mod.rs
@@ -239,7 +239,7 @@
         }
     }
 
-    /// Begins with members already known, as one does that takes over from another process of the same member.
+    /// Begins with members already known.
     pub fn knowing(mut self, records: impl IntoIterator<Item = Record>) -> Self {
         let mut out = Vec::new();
         for record in records {
@@ -286,9 +286,8 @@
 
     /// Members by state, and what was sent and came.
     pub fn counts(&self) -> Counts {
-        let of = |state| self.others.values().filter(|member| member.state == state).count();
         Counts {
-            alive: of(State::Alive) + 1,
+            alive: self.count() - self.suspects.len(),
             suspect: self.suspects.len(),
             dead: self.dead.len(),
             claimed: self.claimed.len(),
@@ -340,7 +339,7 @@
     pub fn leave(&mut self, now: Micros) -> Vec<Out> {
         self.now = self.now.max(now);
         self.leaving = true;
-        self.me.incarnation += 1;
+        self.me.incarnation = self.me.incarnation.saturating_add(1);
         let (session, incarnation) = (self.me.session, self.me.incarnation);
         self.rumors.add(Rumor::Left { session, incarnation });
         let mut out = Vec::new();
@@ -372,16 +371,14 @@
             self.suspects.iter().copied().filter(|session| self.dies_at(*session) <= self.now).collect();
         for session in overdue {
             let Some(member) = self.others.get_mut(&session) else { continue };
-            let (incarnation, member_address) = (member.record.incarnation, member.record.address);
+            let incarnation = member.record.incarnation;
             // Also whom others were to ping: word of what came of that has not come here.
             if !matches!(member.check, Check::Until(_)) {
                 member.check = Check::Until(self.now + self.set.period.scale(INDIRECT));
-                let (nonce, address) = (self.nonce(), member_address);
+                let nonce = self.nonce();
                 self.ping(session, nonce, &mut out);
                 // A datagram that is lost must not cost a member its life: some others ask it too.
-                for helper in self.some_living(HELPERS - 1, session) {
-                    self.send(helper, &Body::PingFor { nonce, target: session, address }, &mut out);
-                }
+                self.ask_helpers(HELPERS - 1, session, nonce, &mut out);
             } else {
                 self.dead(session, incarnation, &mut out);
             }
@@ -498,20 +495,26 @@
             self.unanswered(probe, out);
             return;
         }
-        let Some(address) = self.others.get(&probe.target).map(|member| member.record.address) else {
+        if !self.others.contains_key(&probe.target) {
             self.probe = None;
             return;
-        };
-        for helper in self.some_living(HELPERS, probe.target) {
-            let (nonce, target) = (probe.nonce, probe.target);
-            self.send(helper, &Body::PingFor { nonce, target, address }, out);
-            probe.helpers += 1;
         }
+        probe.helpers = self.ask_helpers(HELPERS, probe.target, probe.nonce, out);
         probe.asked = true;
         probe.due = self.now + self.patient(INDIRECT - DIRECT);
         self.probe = Some(probe);
     }
 
+    /// Asks so many others to ping a member for this one; returns how many were asked.
+    fn ask_helpers(&mut self, count: usize, target: Session, nonce: u64, out: &mut Vec<Out>) -> u32 {
+        let Some(address) = self.others.get(&target).map(|member| member.record.address) else { return 0 };
+        let helpers = self.some_living(count, target);
+        for helper in &helpers {
+            self.send(*helper, &Body::PingFor { nonce, target, address }, out);
+        }
+        helpers.len() as u32
+    }
+
     fn unanswered(&mut self, probe: Probe, out: &mut Vec<Out>) {
         // Helpers that say nothing at all tell of this member's own way (Lifeguard section IV-A).
         self.worse(if probe.helpers > 0 { probe.helpers - probe.nacks.min(probe.helpers) } else { 1 });
@@ -663,12 +666,12 @@
                 State::Alive | State::Left => None,
             }
         });
-        let told = self.rumors.next(MAX_DATAGRAM / 16);
-        let all: Vec<&Rumor> = buddy.iter().chain(told.iter().copied()).collect();
+        let order = self.rumors.order(MAX_DATAGRAM / 16);
+        let all: Vec<&Rumor> = buddy.iter().chain(self.rumors.at(&order)).collect();
         let (bytes, written) = self.seal.write(header, body, &all);
         let written = written.saturating_sub(usize::from(buddy.is_some()));
         let limit = TELLINGS * (usize::BITS - self.count().leading_zeros());
-        self.rumors.told(written, limit);
+        self.rumors.told(&order[..written], limit);
         self.sent_in_period += 1;
         self.figures.sent += 1;
         self.figures.sent_bytes += bytes.len() as u64;
@@ -900,7 +903,8 @@
     }
 
     fn say_again(&mut self) {
-        self.me.incarnation += 1;
+        // A broken member may have taken it to the top.
+        self.me.incarnation = self.me.incarnation.saturating_add(1);
         self.rumors.add(Rumor::Alive(self.me.clone()));
     }
 
--- a/crates/alderstile-cluster/src/members/rumors.rs
+++ b/crates/alderstile-cluster/src/members/rumors.rs
@@ -24,18 +24,26 @@
         self.0.push((0, rumor));
     }
 
-    /// The rumors to tell now, by rising number of tellings; of equals the newest first.
-    pub fn next(&self, most: usize) -> Vec<&Rumor> {
+    /// The places of the rumors to tell now, by rising number of tellings; of equals the newest first.
+    pub fn order(&self, most: usize) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.0.len()).collect();
         order.sort_by_key(|&i| (self.0[i].0, std::cmp::Reverse(i)));
-        order.into_iter().take(most).map(|i| &self.0[i].1).collect()
+        order.truncate(most);
+        order
     }
 
-    /// The first so many of [`Rumors::next`] were told; those told `limit` times are told no more.
-    pub fn told(&mut self, count: usize, limit: u32) {
-        let mut order: Vec<usize> = (0..self.0.len()).collect();
-        order.sort_by_key(|&i| (self.0[i].0, std::cmp::Reverse(i)));
-        order.into_iter().take(count).for_each(|i| self.0[i].0 += 1);
+    /// The rumors at these places of [`Rumors::order`].
+    pub fn at<'a>(&'a self, order: &'a [usize]) -> impl Iterator<Item = &'a Rumor> {
+        order.iter().filter_map(|&i| self.0.get(i)).map(|(_, rumor)| rumor)
+    }
+
+    /// Those at these places were told; what was told `limit` times is told no more.
+    pub fn told(&mut self, order: &[usize], limit: u32) {
+        for &i in order {
+            if let Some((told, _)) = self.0.get_mut(i) {
+                *told += 1;
+            }
+        }
         self.0.retain(|(told, _)| *told < limit);
     }
 
--- a/crates/alderstile-cluster/tests/members.rs
+++ b/crates/alderstile-cluster/tests/members.rs
@@ -272,6 +272,19 @@
     assert_eq!(lonely[0].count(), 2);
 }
 
+#[test]
+fn a_word_above_all_others_leaves_a_member_nothing_to_say_and_running() {
+    // Found on rereading: the next own word overflowed, a panic where overflows are checked.
+    let mut one = member(1, &[2]);
+    let header = Header { from: Session(2_000), to: Session(1_000), counter: 1 };
+    let top = Rumor::Suspect { session: Session(1_000), incarnation: u64::MAX, by: Session(2_000) };
+    let (bytes, _) = seal().write(header, &Body::Nack { nonce: 0 }, &[&top]);
+    one.received(Micros(0), address(2), &bytes);
+    one.set_digest(8);
+    one.leave(Micros(1));
+    assert_eq!(one.me().incarnation, u64::MAX);
+}
+
 fn any_record() -> impl Strategy<Value = Record> {
     (
         1..=u64::MAX,
--- a/crates/alderstile-node/src/cluster.rs
+++ b/crates/alderstile-node/src/cluster.rs
@@ -91,7 +91,8 @@
         let (mut incarnation, mut counter) = (1, 0);
         if let Some(before) = before {
             session = before.session;
-            (incarnation, counter) = (before.incarnation + AHEAD, before.counter + AHEAD);
+            (incarnation, counter) =
+                (before.incarnation.saturating_add(AHEAD), before.counter.saturating_add(AHEAD));
             seeds.extend(&before.known);
         }
         let me = Record {
--- a/crates/alderstile-node/src/config/cluster.rs
+++ b/crates/alderstile-node/src/config/cluster.rs
@@ -70,7 +70,7 @@
         }
         let mut keys = Vec::new();
         for (i, key) in file.keys.iter().enumerate() {
-            let key = key_bytes(key).filter(|key| key.len() >= MIN_KEY);
+            let key = hex::decode(key).ok().filter(|key| key.len() >= MIN_KEY);
             let wanted = || {
                 bad(&format!("keys[{i}]"), format!("at least {} hexadecimal digits are wanted", 2 * MIN_KEY))
             };
@@ -111,12 +111,3 @@
         })
     }
 }
-
-fn key_bytes(text: &str) -> Option<Vec<u8>> {
-    let digits = text.as_bytes();
-    let pair = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
-    if !digits.len().is_multiple_of(2) || !digits.iter().all(u8::is_ascii_hexdigit) {
-        return None;
-    }
-    digits.chunks(2).map(pair).collect()
-}
