A watch counts as silent after 3 s without a whole line, and lists may be indented there

Need: what a watch misses counts as told 6 s after it fell silent, whether or not it arrived. Reckoned from the code (discovery.rs, SILENCE 5 s from the last byte, then 0.25 to 0.75 s until the next call): a call had 0.25 s left to be in time, and parts of a line started the 5 s anew, so that a watch that brings a byte now and then was never given up. Ruled out by tests that proved sound: old versions after a move of discovery, a watch that breaks before drains.

Now the 3 s run from the last whole line (an empty line comes every 2 s), which leaves a call 2.25 s; a call and its whole list share 4 s, which were 8; a list that is indented over several lines is taken in on a watch as in an answer (it was given up as no list, again and again); where discovery has moved in the same moment in which a watch is wanted, the move goes first (a call to the new one with the old one's version was begun and dropped); a watch asked for while one stood is forgotten when that ends, so that nodes which lose theirs together do not call again at once.

Seen sound, and kept: a watch with a line every two seconds goes on.

--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -11,16 +11,19 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tracing::{info, warn};
 
 use crate::decisions::Decisions;
-use crate::list::List;
+use crate::list::{List, Pieces};
 
-/// How long a call may take until its answer begins.
+/// How long a call may take: until a watch begins, or a whole list has come.
 const ANSWER: Duration = Duration::from_secs(4);
-/// An empty line comes every 2 s: after this long without one the watch is dead, whatever TCP says.
-const SILENCE: Duration = Duration::from_secs(5);
+/// An empty line comes every 2 s: after this long without a whole one the watch is dead, whatever TCP says. What it misses
+/// counts as told 6 s after it fell silent, which may be right after its last line. With the wait before the next call
+/// (0.75 s at most after a first failure, spread over the nodes) a call may take 2.25 s to be in time. Shorter, and one line
+/// that is late by a little would have all nodes call at once.
+const SILENCE: Duration = Duration::from_secs(3);
 /// The longest list that is read: far above any real one, and a bound on what a wrong answer can cost.
 const MAX_LIST: usize = 16 << 20;
 
@@ -51,16 +54,25 @@
     // The version held, where it is one of the discovery that is asked.
     let mut seq = Some(decisions.whole_list().seq);
     loop {
+        // Where it has moved in the same moment, that goes first: nothing is asked with the other one's version.
         tokio::select! {
-            () = decisions.ask_list.notified() => {}
+            biased;
             () = decisions.discovery_moved.notified() => seq = None,
+            () = decisions.ask_list.notified() => {}
         }
         let ended = loop {
             tokio::select! {
-                ended = watch(&decisions, &mut seq) => break ended.err().unwrap_or(WatchError::Ended),
+                biased;
                 () = decisions.discovery_moved.notified() => seq = None,
+                ended = watch(&decisions, &mut seq) => break ended.err().unwrap_or(WatchError::Ended),
             }
         };
+        // What was asked for while the watch stood: nodes that lose theirs together must not ask again at once.
+        tokio::select! {
+            biased;
+            () = decisions.ask_list.notified() => {}
+            () = std::future::ready(()) => {}
+        }
         warn!("watch of the server list: {ended}");
         decisions.list(ListKind::Failed, Vec::new());
     }
@@ -81,21 +93,26 @@
     let held = match *seq {
         Some(held) => held,
         None => {
-            let (answer, _abort) = call(decisions, "/catalog/members").await?;
-            let body = timeout(ANSWER, Limited::new(answer.into_body(), MAX_LIST).collect()).await;
+            let deadline = Instant::now() + ANSWER;
+            let (answer, _abort) = call(decisions, "/catalog/members", deadline).await?;
+            let body = timeout_at(deadline, Limited::new(answer.into_body(), MAX_LIST).collect()).await;
             let body = body.map_err(|_| WatchError::NoAnswer)?.map_err(|_| WatchError::Overlong)?.to_bytes();
             let list: List = serde_json::from_slice(&body)?;
             take_in(decisions, &list);
             *seq.insert(list.seq)
         }
     };
-    let (answer, _abort) = call(decisions, &format!("/catalog/members?stream=1&index={held}")).await?;
+    let path = format!("/catalog/members?stream=1&index={held}");
+    let (answer, _abort) = call(decisions, &path, Instant::now() + ANSWER).await?;
     follow(decisions, seq.insert(held), answer).await
 }
 
 /// Asks discovery; the call has its own connection, which ends with the guard.
-async fn call(decisions: &Decisions, path: &str) -> Result<(Response<Incoming>, Abort), WatchError> {
-    let deadline = tokio::time::Instant::now() + ANSWER;
+async fn call(
+    decisions: &Decisions,
+    path: &str,
+    deadline: Instant,
+) -> Result<(Response<Incoming>, Abort), WatchError> {
     let stream = timeout_at(deadline, TcpStream::connect(decisions.discovery())).await;
     let stream = stream.map_err(|_| WatchError::NoAnswer)??;
     stream.set_nodelay(true)?;
@@ -120,34 +137,31 @@
     mut answer: Response<Incoming>,
 ) -> Result<(), WatchError> {
     // Lines and chunks need not end together.
-    let mut line: Vec<u8> = Vec::new();
-    let mut first = true;
+    let mut pieces = Pieces::default();
+    let (mut first, mut heard) = (true, Instant::now());
     loop {
-        let frame = timeout(SILENCE, answer.frame()).await.map_err(|_| WatchError::Silent)?;
+        // Guards against a watch that brings parts of a line for ever: only what is whole is a sign of life.
+        let frame = timeout_at(heard + SILENCE, answer.frame()).await.map_err(|_| WatchError::Silent)?;
         let Some(frame) = frame else { return Ok(()) };
         let Ok(data) = frame?.into_data() else { continue };
         for piece in data.split_inclusive(|byte| *byte == b'\n') {
-            line.extend_from_slice(piece);
-            if line.len() > MAX_LIST {
+            let whole = pieces.add(piece);
+            if pieces.held() > MAX_LIST {
                 return Err(WatchError::Overlong);
             }
-            if line.ends_with(b"\n") {
-                match line.trim_ascii() {
-                    // Nothing has changed since the version held: the call has succeeded all the same.
-                    b"" if first => decisions.list(ListKind::Delta, Vec::new()),
-                    b"" => {}
-                    list => {
-                        let list: List = serde_json::from_slice(list)?;
-                        // Changes from before the version held would undo later ones.
-                        if list.whole || list.seq >= *seq {
-                            *seq = list.seq;
-                            take_in(decisions, &list);
-                        }
-                    }
+            let Some(list) = whole else { continue };
+            if !list.is_empty() {
+                let list: List = serde_json::from_slice(&list)?;
+                // Changes from before the version held would undo later ones.
+                if list.whole || list.seq >= *seq {
+                    *seq = list.seq;
+                    take_in(decisions, &list);
                 }
-                first = false;
-                line.clear();
+            } else if first {
+                // Nothing has changed since the version held: the call has succeeded all the same.
+                decisions.list(ListKind::Delta, Vec::new());
             }
+            (first, heard) = (false, Instant::now());
         }
     }
 }
--- a/crates/alderstile-node/src/list.rs
+++ b/crates/alderstile-node/src/list.rs
@@ -81,6 +81,45 @@
     }
 }
 
+/// What has come of a watch's next list: one a line or, indented, on several.
+#[derive(Debug, Default)]
+pub struct Pieces {
+    held: Vec<u8>,
+    /// Objects and arrays that are open.
+    depth: usize,
+    /// Inside a text, and right behind its escape.
+    text: bool,
+    escape: bool,
+}
+
+impl Pieces {
+    /// Adds bytes up to the end of a line at most; returns what that makes whole, which is nothing at all for an empty line.
+    pub fn add(&mut self, piece: &[u8]) -> Option<Vec<u8>> {
+        for byte in piece {
+            match byte {
+                _ if self.escape => self.escape = false,
+                b'\\' if self.text => self.escape = true,
+                b'"' => self.text = !self.text,
+                b'{' | b'[' if !self.text => self.depth += 1,
+                b'}' | b']' if !self.text => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+        self.held.extend_from_slice(piece);
+        // No text of JSON's holds an end of line: one that does is none, and is read to be told so.
+        if !piece.ends_with(b"\n") || (self.depth > 0 && !self.text) {
+            return None;
+        }
+        let whole = std::mem::take(self).held;
+        Some(whole.trim_ascii().to_vec())
+    }
+
+    /// Bytes held.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+}
+
 /// The number of a server: the same at all nodes and at every start, as groups begin alike by it.
 pub fn server_id(host: &str) -> ServerId {
     ServerId(alderstile_cluster::hashed(host))
