A stop's door stays open 0.45 s; a successor that dies costs a move; too much while waiting is answered

shutdown: the door closed at the longest give_up and 0.1 s, which for requests of less than 0.35 s is before the 0.4 s are over in which clients go on coming: they met a closed port. Now 0.45 s at least. pass, link, session: a connection's sockets were closed here once its datagram was sent; a successor that ended before reading it took them along, with no word to the client. Now both are held until the successor says (the existing word Done, by a number in what is passed) that it has them, 0.5 s at most, as one of an older version never does; where it ends first the client is told to move. side: one who says more than 32 KiB beyond what is held while it must wait is answered ERR: behind a full buffer of the system's no end can reach the node.

--- a/crates/alderstile-node/src/link.rs
+++ b/crates/alderstile-node/src/link.rs
@@ -87,12 +87,19 @@
         self.ready.get()
     }
 
-    /// Says a word and waits until the other has done it. One that does not is waited for no longer than a moment: a
-    /// call of operators is owed its answer.
-    async fn ask(&self, word: impl FnOnce(u64) -> Word) {
+    /// A number under which the other is to say that something is done. What is returned with it ends with an error where
+    /// the other process ends first.
+    pub fn owe(&self) -> (u64, oneshot::Receiver<()>) {
         let number = self.next.replace(self.next.get() + 1);
         let (done, owed) = oneshot::channel();
         self.owed.borrow_mut().insert(number, done);
+        (number, owed)
+    }
+
+    /// Says a word and waits until the other has done it. One that does not is waited for no longer than a moment: a
+    /// call of operators is owed its answer.
+    async fn ask(&self, word: impl FnOnce(u64) -> Word) {
+        let (number, owed) = self.owe();
         // Where the stream is broken the other has ended, and nothing is owed.
         if self.say.send(word(number)).is_ok() && timeout(WORD, owed).await.is_err() {
             warn!("the other process has not answered within {} ms", WORD.as_millis());
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/pass.rs
@@ -50,6 +50,9 @@
     pub up_ms: u64,
     /// Milliseconds since the request came.
     pub age_ms: u64,
+    /// Under which number the other process says that it has the connection. A process of an older version gives none.
+    #[serde(default)]
+    pub number: Option<u64>,
 }
 
 fn path(dir: &Path, name: &str) -> PathBuf {
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -15,6 +15,7 @@
 use crate::clients::{Counted, OpenId};
 use crate::counters::Ended;
 use crate::decisions::HostAt;
+use crate::link::{WORD, Word};
 use crate::list::server_id;
 use crate::lobby::Guest;
 use crate::node::Node;
@@ -429,6 +430,7 @@
     /// Passes the connection on to the process that takes over.
     async fn pass(&self, client: &Side, host: &Side, name: &str, carried: Carried) -> io::Result<()> {
         let to = self.node.clients.passing().ok_or(io::ErrorKind::NotConnected)?;
+        let (number, taken) = self.node.process.linked().map(|link| link.owe()).unzip();
         let millis = |ms: u128| u64::try_from(ms).unwrap_or(u64::MAX);
         let passed = Passed {
             line: String::from_utf8_lossy(self.line).into_owned(),
@@ -439,8 +441,18 @@
             attempts: self.attempts,
             up_ms: millis(self.up_ms),
             age_ms: millis(self.arrived.elapsed().as_millis()),
+            number,
         };
-        pass::send(&to, passed, [&client.stream, &host.stream]).await
+        pass::send(&to, passed, [&client.stream, &host.stream]).await?;
+        // Guards against a successor that ends before it has read this: both sides are held until it says that it has them.
+        // One of an older version never says so.
+        match taken {
+            Some(taken) => match timeout(WORD, taken).await {
+                Ok(Err(_)) => Err(io::ErrorKind::ConnectionAborted.into()),
+                Ok(Ok(())) | Err(_) => Ok(()),
+            },
+            None => Ok(()),
+        }
     }
 }
 
@@ -474,6 +486,9 @@
         passed.carried.load.iter().for_each(|load| facade.report_load(now, id, server, *load));
         id
     });
+    if let Some((link, number)) = node.process.linked().zip(passed.number) {
+        link.say(Word::Done { number });
+    }
     let host = Side { buffer: from_host, ..Side::new(host) };
     let client = Side { buffer: from_client, ..Side::new(client) };
     let up = Up {
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -12,6 +12,9 @@
 
 /// What is kept of the time that a stop may take: the last clients' lines and ends must pass before it is over.
 const KEPT: Duration = Duration::from_millis(600);
+/// New connections go on coming for 0.4 s at most after a stop began: the door stays open that long, also where the longest
+/// request, and with it the stop, is short.
+const COMING: Duration = Duration::from_millis(450);
 /// Who still waits for a host this long before the stop's time is over is answered then, and who has said nothing whole is
 /// closed. A request that came up to 0.4 s after the stop began has had all of its time by then: the stop's time is that of
 /// the longest request and 0.7 s. Guards against hosts that hang, and requests that may wait longer than a stop.
@@ -70,6 +73,9 @@
     if node.clients.passing().is_none() {
         node.clients.move_all();
     }
+    if !node.process.shared() {
+        sleep_until(now + COMING).await;
+    }
     // The door is closed by who keeps it, in the step in which nobody waits there: whom the system has taken in is a
     // client, and is owed an answer.
     node.process.door.notify_one();
--- a/crates/alderstile-node/src/side.rs
+++ b/crates/alderstile-node/src/side.rs
@@ -16,6 +16,11 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Bytes that are read and dropped meanwhile: who sends without end is cut off.
 const DRAIN: usize = 1 << 18;
+/// Bytes that one who has to wait may have said beyond what is held: eight lines of the longest. With far more the
+/// system's own buffer fills up, and no end can be seen behind that.
+const UNREAD: u64 = 8 * MAX_LINE as u64;
+/// How often that is looked at: an end must be known within 0.3 s.
+const UNREAD_EVERY: Duration = Duration::from_millis(100);
 
 /// A connection and the bytes that came on it.
 pub struct Side {
@@ -91,17 +96,21 @@
     }
 
     /// Waits for the end of the other side's sending behind bytes that are not read. Guards against one that said much
-    /// while it had to wait, and went.
+    /// while it had to wait, and went; whoever says too much to see its end is taken to say no line at all.
     async fn end(&self) -> Pulled {
         loop {
+            if rustix::io::ioctl_fionread(&self.stream).is_ok_and(|unread| unread > UNREAD) {
+                return Pulled::Overlong;
+            }
             // This wakes at the end, and for urgent bytes, which nobody asked for.
-            match self.stream.ready(Interest::PRIORITY).await {
-                Ok(ready) if ready.is_read_closed() => return Pulled::Ended,
-                Ok(_) => {
+            match timeout(UNREAD_EVERY, self.stream.ready(Interest::PRIORITY)).await {
+                Err(_) => {}
+                Ok(Ok(ready)) if ready.is_read_closed() => return Pulled::Ended,
+                Ok(Ok(_)) => {
                     let none = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
                     let _cleared = self.stream.try_io(Interest::PRIORITY, none);
                 }
-                Err(_) => return Pulled::Reset,
+                Ok(Err(_)) => return Pulled::Reset,
             }
         }
     }
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -140,6 +140,61 @@
     });
 }
 
+#[test]
+fn sighup_counts_during_a_stop_and_a_second_sigterm_changes_nothing() {
+    run(async {
+        let (old, new) = (Discovery::new().await, Discovery::new().await);
+        let listen =
+            tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
+        let mut value = config(&listen.to_string(), &address(&old));
+        value["settings"]["allowed"]["may_tell"] = false.into();
+        let path = file("stop", &value);
+        let mut node = Command::new(env!("CARGO_BIN_EXE_alderstile"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("started");
+        let signal = async |name: &str| {
+            let pid = node.id().expect("still there").to_string();
+            assert!(Command::new("kill").args([name, &pid]).status().await.expect("sent").success());
+        };
+        let host = Host::new("s-1").await;
+        let mut watch = old.watch(&[&list(1, true, &[host.entry("up")])]).await;
+        let mut client = loop {
+            let mut front = Peer::connect(listen).await;
+            front.send("PING\r\n").await;
+            if front.line().await.is_some() {
+                break Peer::connect(listen).await;
+            }
+        };
+        client.send("OPEN 1 1 c=chat,d=1000\r\n").await;
+        let mut server = host.accept().await;
+        server.line().await.expect("the first line");
+        // The stop has begun once it is not ready any more.
+        signal("-TERM").await;
+        loop {
+            let mut front = Peer::connect(listen).await;
+            front.send("PING\r\n").await;
+            if front.line().await.is_none() {
+                break;
+            }
+        }
+        signal("-TERM").await;
+        value["discovery"] = address(&new).into();
+        file("stop", &value);
+        signal("-HUP").await;
+        assert_eq!(watch.line().await, None, "the old watch is dropped");
+        whole(&new, 1, &[&host]).await;
+        server.send("UP 01\r\n").await;
+        assert_eq!(client.line().await.as_deref(), Some("UP 01"));
+        assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+        assert!(node.wait().await.expect("ended").success());
+    });
+}
+
 /// What the figures say.
 fn figure(setup: &Setup, name: &str) -> Option<String> {
     let (text, start) = (setup.node.operators.figures(), format!("router.{name}:"));
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -11,8 +11,8 @@
 use alderstile_node::config::Identity;
 use alderstile_node::upgrade;
 use serde_json::Value;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, UnixListener};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, UnixDatagram, UnixListener, UnixStream};
 use tokio::process::{Child, Command};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -422,6 +422,50 @@
     });
 }
 
+#[test]
+fn a_successor_that_dies_with_connections_unread_costs_them_no_more_than_a_move() {
+    // The system closes what lies unread at a process that ends: the one before holds both sides until it is told that
+    // they have been taken.
+    run(async {
+        let (dir, discovery) = (dir("unread"), Discovery::new().await);
+        let value = replaceable(&discovery).await;
+        let host = Host::new("s-1").await;
+        serve_list(discovery, vec![host.entry("up")]);
+        serve_host(host, Rc::default());
+        let old = Process::start(&value, &dir).await;
+        old.until_ready().await;
+        let mut clients = Vec::new();
+        for id in 0..5 {
+            let mut client = Peer::connect(listens_at(&value)).await;
+            client.send(&format!("OPEN {id:016x} {id:016x} c=chat,d=5000\r\n")).await;
+            assert_eq!(client.line().await.as_deref(), Some("UP 00ff"));
+            clients.push(client);
+        }
+        // A successor that says that it serves, and then takes nothing.
+        let place = format!("alderstile-{:016x}", alderstile_node::list::server_id("n1").0);
+        let mut stream =
+            BufReader::new(UnixStream::connect(dir.join(format!("{place}.sock"))).await.expect("there"));
+        let passed = UnixDatagram::bind(dir.join(format!("{place}.pass"))).expect("bound");
+        stream
+            .get_mut()
+            .write_all(b"{\"join\":{\"version\":1}}\n{\"ready\":{\"number\":7}}\n")
+            .await
+            .expect("sent");
+        let mut line = String::new();
+        while !line.contains("\"done\"") {
+            line.clear();
+            stream.read_line(&mut line).await.expect("a word");
+        }
+        old.signal("-TERM").await;
+        passed.readable().await.expect("passed on");
+        drop((passed, stream));
+        for client in &mut clients {
+            assert_eq!(client.line().await.as_deref(), Some("MOVE"));
+            assert_eq!(client.line().await, None);
+        }
+    });
+}
+
 #[test]
 fn what_is_no_predecessor_is_passed_by() {
     run(async {
