--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -38,6 +38,9 @@
 const STOP_AFTER: Duration = Duration::from_millis(700);
 /// How often the list must be asked for where nothing else is said.
 const MUST_ASK_IN: Micros = Micros::from_millis(10_000);
+/// The same where lists are pushed: what this machine's agent has counts as told also while no watch is open, so that one
+/// that broke is asked for again at once, as often as need be (half of this is the longest wait). Calls reach the agent alone.
+const PUSHED: Micros = Micros::from_millis(200);
 
 /// Why there is no configuration.
 #[derive(Debug, Error)]
@@ -383,8 +386,10 @@
 
 /// On sockets the list comes to those who watch it, whatever brings it on the drill.
 fn on_sockets(mut settings: Settings) -> Settings {
-    settings.must_ask = true;
-    if settings.must_ask_in == Micros(0) {
+    let pushed = !std::mem::replace(&mut settings.must_ask, true);
+    if pushed {
+        settings.must_ask_in = PUSHED;
+    } else if settings.must_ask_in == Micros(0) {
         settings.must_ask_in = MUST_ASK_IN;
     }
     settings
--- a/crates/alderstile-node/tests/config.rs
+++ b/crates/alderstile-node/tests/config.rs
@@ -67,11 +67,15 @@
     for key in ["limits", "peers", "seed", "known"] {
         value.as_object_mut().and_then(|fields| fields.remove(key));
     }
-    value["settings"]["discovery"] = "automatic".into();
     value["settings"]["obligations"].as_object_mut().and_then(|fields| fields.remove("must_ask_in"));
+    // A node that never watched, or watched without a pause, would be of no use on sockets. Where lists are pushed its own
+    // agent is asked, and what that has counts at once.
+    for (discovery, wanted) in [("subscribe", 10_000_000), ("automatic", 200_000)] {
+        value["settings"]["discovery"] = discovery.into();
+        let config = Config::parse(value.clone()).expect("fine");
+        assert!(config.settings.must_ask && config.settings.must_ask_in.0 == wanted, "{discovery}");
+    }
     let config = Config::parse(value).expect("fine");
-    // A node that never watched, or watched without a pause, would be of no use on sockets.
-    assert!(config.settings.must_ask && config.settings.must_ask_in.0 == 10_000_000);
     assert_eq!((config.sockets, config.peers.len(), config.known.hosts.len()), (1_024, 0, 0));
 }
 
--- a/crates/alderstile-node/tests/crossings.rs
+++ b/crates/alderstile-node/tests/crossings.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use alderstile_node::config::Config;
-use alderstile_node::list::server_id;
 use alderstile_node::shutdown;
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -49,9 +48,7 @@
     let mut client = setup.open(1, "d=20000").await;
     setup.until_waiting().await;
     chunk(&mut watch, &list(2, false, &[other.entry("up")])).await;
-    while setup.node.decisions.host(server_id("s-2")).is_none() {
-        sleep(Duration::from_millis(1)).await;
-    }
+    setup.until_listed("s-2").await;
     news(&setup, &mut watch, &held).await;
     held.release().await;
     let mut late = held.accept().await;
@@ -74,9 +71,7 @@
         &list(3, false, &[entry, json!({"host": "s-3", "dial": "127.0.0.1:1", "health": "draining"})]),
     )
     .await;
-    while setup.node.decisions.host(server_id("s-3")).is_none() {
-        sleep(Duration::from_millis(1)).await;
-    }
+    setup.until_listed("s-3").await;
 }
 
 #[test]
@@ -152,9 +147,7 @@
             let mut client = setup.open(1, "d=20000").await;
             setup.until_waiting().await;
             chunk(&mut watch, &list(2, false, &[hosts[1].entry("up")])).await;
-            while setup.node.decisions.host(server_id("s-2")).is_none() {
-                sleep(Duration::from_millis(1)).await;
-            }
+            setup.until_listed("s-2").await;
             hosts[0].release().await;
             let mut server = hosts[0].accept().await;
             if answer {
@@ -239,11 +232,7 @@
             let hosts = [Host::new("s-1").await, Host::new("s-2").await];
             let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
             let client = setup.open(id, "d=20000").await;
-            let (mut server, other) = tokio::select! {
-                server = hosts[0].accept() => (server, 1),
-                server = hosts[1].accept() => (server, 0),
-            };
-            server.line().await.expect("the first line");
+            let (mut server, other) = attempt_at(&hosts).await;
             let _kept = leave(client, how).await;
             let ended = timeout(Duration::from_secs(5), server.line()).await;
             assert_eq!(ended, Ok(None), "{how:?}");
@@ -260,11 +249,7 @@
         // Again and again: which of two things that are there at once is looked at first must not be chance.
         for id in 0..20 {
             let client = setup.open(id, "d=20000").await;
-            let (mut server, other) = tokio::select! {
-                server = hosts[0].accept() => (server, 1),
-                server = hosts[1].accept() => (server, 0),
-            };
-            server.line().await.expect("the first line");
+            let (server, other) = attempt_at(&hosts).await;
             // The end and the answer come in one moment, in this order.
             drop(client);
             server.0.get_ref().try_write(b"BUSY\r\n").expect("sent");
@@ -456,9 +441,7 @@
             chunk(&mut watch, piece).await;
         }
         chunk(&mut watch, "\n").await;
-        while setup.node.decisions.host(server_id("s-2\"]")).is_none() {
-            sleep(Duration::from_millis(1)).await;
-        }
+        setup.until_listed("s-2\"]").await;
         setup.up(2, &hosts[1]).await;
     });
 }
@@ -484,6 +467,25 @@
     });
 }
 
+#[test]
+fn where_lists_are_pushed_a_watch_that_broke_is_asked_for_at_once_however_often_it_fails() {
+    // What the agent has counts as told whether or not a watch is open.
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, watch) =
+            serving_with(&[&host], |value| value["settings"]["discovery"] = json!("automatic")).await;
+        drop(watch);
+        let mut last = Instant::now();
+        for _ in 0..8 {
+            let (_, mut call) = setup.discovery.call().await;
+            // 100 ms at most, and what a slow machine adds; doubled each time it would be seconds.
+            assert!(last.elapsed() < Duration::from_secs(1), "{:?}", last.elapsed());
+            call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await;
+            last = Instant::now();
+        }
+    });
+}
+
 #[test]
 fn of_two_new_configurations_in_one_moment_the_last_one_counts() {
     run(async {
@@ -532,9 +534,7 @@
         let mut connecting = setup.open(1, "d=20000").await;
         setup.until_waiting().await;
         chunk(&mut watch, &list(2, false, &[held.entry("draining"), hung.entry("up")])).await;
-        while setup.node.decisions.host(server_id("s-2")).is_none() {
-            sleep(Duration::from_millis(1)).await;
-        }
+        setup.until_listed("s-2").await;
         // These have run, for all that is known.
         let mut asked = setup.open(2, "d=20000").await;
         let mut fragile = setup.client().await;
@@ -674,11 +674,7 @@
             let hosts = [Host::new("s-1").await, Host::new("s-2").await];
             let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
             let mut client = setup.open(1, "d=20000").await;
-            let (mut server, other) = tokio::select! {
-                server = hosts[0].accept() => (server, 1),
-                server = hosts[1].accept() => (server, 0),
-            };
-            server.line().await.expect("the first line");
+            let (mut server, other) = attempt_at(&hosts).await;
             if gap {
                 server.send("BUSY\r\n").await;
                 assert_eq!(server.line().await, None, "the attempt is over");
@@ -701,11 +697,7 @@
         let hosts = [Host::new("s-1").await, Host::new("s-2").await];
         let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
         let mut client = setup.open(1, "d=20000").await;
-        let (mut server, other) = tokio::select! {
-            server = hosts[0].accept() => (server, 1),
-            server = hosts[1].accept() => (server, 0),
-        };
-        server.line().await.expect("the first line");
+        let (mut server, other) = attempt_at(&hosts).await;
         server.0.get_mut().write_all(&[b'U'; 5_000]).await.unwrap_or_default();
         let mut server = hosts[other].accept().await;
         server.line().await.expect("the first line");
--- a/crates/alderstile-node/tests/support/mod.rs
+++ b/crates/alderstile-node/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use alderstile_node::config::Config;
+use alderstile_node::list::server_id;
 use alderstile_node::node::Node;
 use alderstile_node::{discovery, listener};
 use serde_json::{Value, json};
@@ -125,6 +126,16 @@
     }
 }
 
+/// The attempt of a client, at whichever of two hosts it comes, with its first line taken; and which the other host is.
+pub async fn attempt_at(hosts: &[Host; 2]) -> (Peer, usize) {
+    let (mut server, other) = tokio::select! {
+        server = hosts[0].accept() => (server, 1),
+        server = hosts[1].accept() => (server, 0),
+    };
+    server.line().await.expect("the first line");
+    (server, other)
+}
+
 /// A line of the watch.
 pub fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
     format!("{}\n", json!({"seq": seq, "whole": whole, "hosts": hosts}))
@@ -222,6 +233,13 @@
         client
     }
 
+    /// Waits until the node knows where a host is reached.
+    pub async fn until_listed(&self, host: &str) {
+        while self.node.decisions.host(server_id(host)).is_none() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Waits until a client waits for a host.
     pub async fn until_waiting(&self) {
         while self.node.clients.inflight() == 0 {
