Two crossing tests hold the node's thread where they left it a chance to be first

Seen: a_fragile_request_goes_on_elsewhere... failed once in 13 rows under load (30 runnable threads): the connection came up at the node before it came up at the stand-in, so the line was out before the reset, and the request was rightly answered FAILED. The stand-in now takes the connection and resets it while nothing else runs on the thread; the test on the client's time holds the thread from the moment in which the connection was asked for. What they demand is as strict.

--- a/crates/alderstile-node/tests/crossings.rs
+++ b/crates/alderstile-node/tests/crossings.rs
@@ -121,14 +121,11 @@
         let host = Host::new("s-1").await;
         let (setup, _watch) = serving_with(&[&host], patient).await;
         let mut client = setup.open(1, "d=300").await;
-        // The system has brought the connection up; the node has not looked. Nothing else runs on this thread meanwhile.
-        let mut server = loop {
-            match timeout(Duration::ZERO, host.accept()).await {
-                Ok(server) => break server,
-                Err(_) => tokio::task::yield_now().await,
-            }
-        };
+        // The node has asked for the connection, which the system brings up. Nothing else runs on this thread until the
+        // client's time is over.
+        setup.until_waiting().await;
         std::thread::sleep(Duration::from_millis(400));
+        let mut server = host.accept().await;
         assert_eq!(server.line().await, None, "sent after its time");
         assert!(client.line().await.expect("an answer").starts_with("BUSY"));
     });
@@ -149,13 +146,20 @@
             chunk(&mut watch, &list(2, false, &[hosts[1].entry("up")])).await;
             setup.until_listed("s-2").await;
             hosts[0].release().await;
-            let mut server = hosts[0].accept().await;
             if answer {
+                let mut server = hosts[0].accept().await;
                 server.line().await.expect("the first line");
                 server.reset();
             } else {
-                // The node has not looked since the connection came up: what it writes meets a reset.
-                server.reset();
+                // Nothing else runs on this thread: what the node writes once it does meets a reset.
+                let server = loop {
+                    match rustix::net::accept(&hosts[0].listener) {
+                        Ok(server) => break server,
+                        Err(_) => std::thread::sleep(Duration::from_millis(5)),
+                    }
+                };
+                rustix::net::sockopt::set_socket_linger(&server, Some(Duration::ZERO)).expect("set");
+                drop(server);
                 let mut server = hosts[1].accept().await;
                 server.line().await.expect("the first line");
                 server.send("UP 02\r\n").await;
