--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -54,14 +54,13 @@
     // The version held, where it is one of the discovery that is asked.
     let mut seq = Some(decisions.whole_list().seq);
     loop {
-        // Where it has moved in the same moment, that goes first: nothing is asked with the other one's version.
         tokio::select! {
-            biased;
-            () = decisions.discovery_moved.notified() => seq = None,
             () = decisions.ask_list.notified() => {}
+            () = decisions.discovery_moved.notified() => seq = None,
         }
         let ended = loop {
             tokio::select! {
+                // Where it has moved in the same moment, nothing is asked with the other one's version.
                 biased;
                 () = decisions.discovery_moved.notified() => seq = None,
                 ended = watch(&decisions, &mut seq) => break ended.err().unwrap_or(WatchError::Ended),
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -163,13 +163,9 @@
         let taken = self.node.clients.take();
         let wait = Duration::from_millis(self.open.wait_ms).min(LONGEST_WAIT);
         let deadline = self.arrived + wait.saturating_sub(MARGIN);
-        let placed = match (client.ended().await, self.open.at) {
-            // It went as it came: no host is asked.
-            (Some(ended), _) => Placed::unwanted(ended),
-            (None, Some(at)) => {
-                self.adopt(&mut client, server_id(&String::from_utf8_lossy(at)), deadline).await
-            }
-            (None, None) => self.place(&mut client, deadline).await,
+        let placed = match self.open.at {
+            Some(at) => self.adopt(&mut client, server_id(&String::from_utf8_lossy(at)), deadline).await,
+            None => self.place(&mut client, deadline).await,
         };
         match placed {
             Placed::Up(up) => {
@@ -347,11 +343,8 @@
         let mut written = 0;
         while written == 0 || written < line.len() {
             if written == 0 {
-                // Guards against what came while the connection did: the client's end, the end of its time, a list, an
-                // operator's word. It must be true at the first byte.
-                if let Some(ended) = client.ended().await {
-                    return Err(CutShort::Client(ended));
-                }
+                // Guards against what came while the connection did: the end of the client's time, a list, an operator's
+                // word. It must be true at the first byte. The client itself was looked at in this very step.
                 let left = until.saturating_duration_since(Instant::now()).as_millis();
                 if left == 0 || !may_go() {
                     return Ok(Tried::Failed(Outcome::Unsent));
--- a/crates/alderstile-node/src/side.rs
+++ b/crates/alderstile-node/src/side.rs
@@ -115,19 +115,6 @@
         }
     }
 
-    /// How the other side has ended, if that is to be seen at this moment.
-    pub async fn ended(&mut self) -> Option<Pulled> {
-        loop {
-            tokio::select! {
-                biased;
-                more = self.more() => if let Err(ended) = more {
-                    return Some(ended);
-                },
-                () = std::future::ready(()) => return None,
-            }
-        }
-    }
-
     /// Says a last line, ends the sending, and gives the other side a moment to end too.
     pub async fn close_with(mut self, line: &[u8]) {
         let said = timeout(ANSWER, async {
--- a/crates/alderstile-node/tests/crossings.rs
+++ b/crates/alderstile-node/tests/crossings.rs
@@ -294,6 +294,10 @@
                     Some(client)
                 }
             };
+            if matches!(how, Leaves::Ends | Leaves::Half) {
+                // The end lies right behind the line: no host is even connected to.
+                assert!(timeout(MOMENT, host.accept()).await.is_err(), "{how:?}");
+            }
             assert!(!host.is_sent_something(MOMENT).await, "{how:?}");
             drop(kept);
             setup.until_none().await;
@@ -429,6 +433,21 @@
     });
 }
 
+#[test]
+fn a_watch_asked_for_while_one_stands_is_forgotten_when_that_ends() {
+    // Nodes that lose theirs together would all ask again at once.
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, watch) = serving(&[&host]).await;
+        setup.node.decisions.ask_list.notify_one();
+        let ended = Instant::now();
+        drop(watch);
+        setup.discovery.call().await;
+        // The wait is spread over 250 to 750 ms.
+        assert!(ended.elapsed() >= Duration::from_millis(250), "{:?}", ended.elapsed());
+    });
+}
+
 #[test]
 fn an_indented_list_comes_whole_on_a_watch_too() {
     run(async {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -295,6 +295,10 @@
         for (id, held) in &self.held {
             let looks = || self.timers.iter().any(|(_, token)| token.0 == id.0 | 1 << 63);
             assert!(held.out_at.is_some() || looks(), "{id:?} is neither answered nor out");
+            // What came since it was decided must not go out any more, once its connection is up.
+            if let Some(server) = held.out_at.filter(|_| !held.open && self.policy.may_go(self.now, *id)) {
+                self.check_lawful(*id, server);
+            }
         }
         self.last = actions;
     }
@@ -309,10 +313,8 @@
     fn check_send(&mut self, id: RequestId, server: ServerId, time_out: Option<Micros>) {
         assert!(!self.ended.contains(&id), "sent {id:?} after its end");
         assert!(time_out.is_none_or(|t| t > Micros(0)));
-        let entry = *self.listed.get(&server).expect("a server of the list");
-        let advice = self.settings.gone_is_advice && entry.state == ServerState::Gone;
-        let free = entry.state == ServerState::Ready || (advice && !self.drains.contains(&server));
-        assert!(free, "sent to {server}, which is not ready");
+        self.check_lawful(id, server);
+        let entry = self.listed[&server];
         let held = self.held.get_mut(&id).unwrap_or_else(|| panic!("{id:?} sent though not held"));
         assert!(held.out_at.is_none(), "two attempts of {id:?} at once");
         held.attempts += 1;
@@ -325,6 +327,20 @@
             assert!(further <= allowed, "{further} further attempts where {allowed} are allowed");
         }
         assert!(held.attempts <= self.settings.max_attempts);
+        held.out_at = Some(server);
+        held.sent = self.now;
+        if entry.started.is_some_and(|started| self.now < started + self.settings.cold) {
+            self.cold_sends.entry(server).or_default().push(self.now);
+        }
+    }
+
+    /// Whether the list, and what an attempt may have done before, let a request go to a server now.
+    fn check_lawful(&self, id: RequestId, server: ServerId) {
+        let entry = *self.listed.get(&server).expect("a server of the list");
+        let advice = self.settings.gone_is_advice && entry.state == ServerState::Gone;
+        let free = entry.state == ServerState::Ready || (advice && !self.drains.contains(&server));
+        assert!(free, "sent to {server}, which is not ready");
+        let held = self.held.get(&id).unwrap_or_else(|| panic!("{id:?} sent though not held"));
         let class = &self.settings.classes[usize::from(held.class)];
         if let Some((first, sent)) = held.ran {
             let first = self.listed[&first];
@@ -341,10 +357,5 @@
                 }
             }
         }
-        held.out_at = Some(server);
-        held.sent = self.now;
-        if entry.started.is_some_and(|started| self.now < started + self.settings.cold) {
-            self.cold_sends.entry(server).or_default().push(self.now);
-        }
     }
 }
