--- a/crates/alderstile-node/tests/crossings.rs
+++ b/crates/alderstile-node/tests/crossings.rs
@@ -395,6 +395,22 @@
     });
 }
 
+#[test]
+fn a_first_line_that_is_no_text_is_taken_nowhere() {
+    // What is passed on to a successor is text: nothing else is ever taken.
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch) = serving(&[&host]).await;
+        for bad in [&b"OPEN \xff\xfe 01 c=chat,d=20000\r\n"[..], b"OPEN 01 01 c=chat,d=20000,x=\xc3\x28\r\n"]
+        {
+            let mut client = setup.client().await;
+            client.0.get_mut().write_all(bad).await.expect("sent");
+            assert_eq!(client.line().await.as_deref(), Some("ERR"), "{bad:?}");
+        }
+        assert!(!host.is_sent_something(MOMENT).await);
+    });
+}
+
 // ---- the watch ----
 
 #[test]
