Read again: a look that nobody took is gone, tests share the taking in of an attempt

Process::is_over was never called. Session::pass answers in one step where nobody is owed a word; the end of a stop is reckoned once. node.rs and reload.rs call attempt_at and until_listed in place of their own loops; what they assert is unchanged. Twins left: set-ups of stand-ins, alike by their shape alone.

--- a/crates/alderstile-node/src/process.rs
+++ b/crates/alderstile-node/src/process.rs
@@ -82,11 +82,6 @@
         }
     }
 
-    /// Whether the time of a stop is nearly over.
-    pub fn is_over(&self) -> bool {
-        self.over.get()
-    }
-
     /// Whether it is about to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -439,12 +439,10 @@
         pass::send(&to, passed, [&client.stream, &host.stream]).await?;
         // Guards against a successor that ends before it has read this: both sides are held until it says that it has them.
         // One of an older version never says so.
-        match taken {
-            Some(taken) => match timeout(WORD, taken).await {
-                Ok(Err(_)) => Err(io::ErrorKind::ConnectionAborted.into()),
-                Ok(Ok(())) | Err(_) => Ok(()),
-            },
-            None => Ok(()),
+        let Some(taken) = taken else { return Ok(()) };
+        match timeout(WORD, taken).await {
+            Ok(Err(_)) => Err(io::ErrorKind::ConnectionAborted.into()),
+            Ok(Ok(())) | Err(_) => Ok(()),
         }
     }
 }
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -33,7 +33,8 @@
 pub async fn run(node: Rc<Node>, accepting: JoinHandle<()>) {
     info!("leaving: {} clients are served", node.clients.served());
     let may_take = node.config().stop_within;
-    let (now, last) = (Instant::now(), Instant::now() + may_take.saturating_sub(KEPT));
+    let now = Instant::now();
+    let (last, end) = (now + may_take.saturating_sub(KEPT), now + may_take);
     if !node.process.shared() {
         node.process.leave();
     }
@@ -81,7 +82,7 @@
     node.process.door.notify_one();
     drop(accepting.await);
     while node.clients.descriptors() > 0 {
-        if Instant::now() + LAST_MOMENT >= now + may_take {
+        if Instant::now() + LAST_MOMENT >= end {
             warn!("left: {} descriptors are held beyond the stop's time", node.clients.descriptors());
             break;
         }
--- a/crates/alderstile-node/tests/node.rs
+++ b/crates/alderstile-node/tests/node.rs
@@ -116,11 +116,7 @@
             let hosts = [Host::new("s-1").await, Host::new("s-2").await];
             let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
             let mut client = setup.open(1, "d=20000").await;
-            let (mut server, other) = tokio::select! {
-                server = hosts[0].accept() => (server, 1),
-                server = hosts[1].accept() => (server, 0),
-            };
-            server.line().await.expect("the first line");
+            let (mut server, other) = attempt_at(&hosts).await;
             let both = timeout(MOMENT, hosts[other].accept()).await;
             assert!(both.is_err(), "two attempts are out");
             server.send(answer).await;
@@ -307,9 +303,7 @@
             let (setup, mut watch) = serving(&[&hosts[0]]).await;
             let (mut client, mut server) = setup.up(1, &hosts[0]).await;
             chunk(&mut watch, &list(2, false, &[hosts[0].entry(health), hosts[1].entry("up")])).await;
-            while setup.node.decisions.host(server_id("s-2")).is_none() {
-                sleep(Duration::from_millis(1)).await;
-            }
+            setup.until_listed("s-2").await;
             let mut open = Vec::new();
             for id in 10..16 {
                 open.push(setup.up(id, &hosts[1]).await);
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::time::Duration;
 
 use alderstile_node::config::Config;
 use alderstile_node::hello::Hello;
@@ -12,7 +11,6 @@
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::Command;
-use tokio::time::sleep;
 
 mod support;
 use support::*;
@@ -59,9 +57,7 @@
         setup.up(2, &hosts[1]).await;
         watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
         chunk(&mut watch, &list(4, false, &[hosts[0].entry("up")])).await;
-        while setup.node.decisions.host(server_id("s-1")).is_none() {
-            sleep(Duration::from_millis(1)).await;
-        }
+        setup.until_listed("s-1").await;
         client.send("M 1\r\n").await;
         assert_eq!(server.line().await.as_deref(), Some("M 1"));
     });
