Settings: prices, tenants' shares, CPU and the drain's grace arrive; tests for three deployments

Need: three further deployments state prices, shares, CPU and a grace of 0.5 to 2 s; of these the settings read nothing. What bound already (gone as advice, cold multiples 1.5 and 3 with their spans, groups, 3 to 5 attempts, probes, waits) was read, untested. Checked by a tap of the first message of each: group work is on no wire (extra.group_load comes by configuration), nor is a limit of list lines; must_ask_in is all that is stated of the list. Change: Settings has prices, tenants, cpu_us_per_s and drain_grace; the drill's tests hold the three first messages as they came and check each value, that a configuration with the same paths gives the same, and that bad values are named. The lab's emulated fleet and the tests' support name the new fields, nothing else.

--- /dev/null
+++ b/crates/alderstile-drill/tests/settings.rs
@@ -0,0 +1,126 @@
+//! Each setting that a deployment states reaches the decisions: the first messages of three of them, as they came.
+
+use alderstile::interface::*;
+use alderstile::settings::{self, Keys, SettingsError};
+
+const DFA: &str = include_str!("first/dfa-photo-wire.txt");
+const DOGU: &str = include_str!("first/dogu-feed.txt");
+const EGE: &str = include_str!("first/ege-photo-feed.txt");
+
+fn parsed(text: &str) -> Settings {
+    settings::parse(&Keys::from_lines(text)).expect("settings as they came")
+}
+
+/// As the node hands its configuration over: the same paths below `settings.`, with further ones.
+fn configured(text: &str, further: &[(&str, &str)]) -> Result<Settings, SettingsError> {
+    let lines = text.lines().filter_map(|line| line.split_once('='));
+    let pairs = lines.chain(further.iter().copied()).map(|(key, value)| (key.to_owned(), value.to_owned()));
+    settings::parse(&Keys::new("settings.", pairs))
+}
+
+#[test]
+fn what_dfa_photo_wire_states_arrives() {
+    let set = parsed(DFA);
+    assert_eq!((set.balancers, set.index, set.zone), (5, Some(0), 2));
+    assert!(set.gone_is_advice, "only draining binds");
+    assert_eq!((set.cold, set.cold_from), (Micros::from_millis(24_000), 0.15));
+    assert_eq!((set.fall_multiple, set.overload_for), (3.0, Micros::from_millis(1_500)));
+    assert_eq!((set.max_attempts, set.drain_grace), (3, Micros::from_millis(1_000)));
+    assert!(set.probes && set.retry_after && !set.may_tell && set.must_ask);
+    assert_eq!(set.max_retry_after, Micros::from_millis(1_000));
+    assert_eq!(set.must_ask_in, Micros::from_millis(10_000));
+    assert_eq!((set.groups, set.weights), (false, Weights::None));
+    let prices = Prices {
+        cross_zone: 0.03,
+        moves: 0.0089,
+        probe: 0.002,
+        waste: 0.016,
+        handshake: 0.0,
+        late_fail: 0.05,
+    };
+    assert_eq!(set.prices, prices);
+    assert!(set.tenants.is_empty(), "nobody shares it");
+    assert_eq!(set.cpu_us_per_s, Some(400_000.0));
+    let classes: Vec<_> =
+        set.classes.iter().map(|c| (c.aim.0, c.worth, c.message_aim.map(|aim| aim.0))).collect();
+    assert_eq!(classes, [(500_000, 1.0, Some(150_000)), (500_000, 2.0, Some(150_000))]);
+}
+
+#[test]
+fn what_dogu_feed_states_arrives() {
+    let set = parsed(DOGU);
+    assert_eq!((set.balancers, set.zone), (33, 2));
+    assert!(set.gone_is_advice, "only draining binds");
+    assert_eq!((set.cold, set.cold_from), (Micros::from_millis(19_000), 0.12));
+    assert_eq!((set.fall_multiple, set.overload_for), (1.5, Micros::from_millis(1_500)));
+    assert_eq!((set.max_attempts, set.drain_grace), (5, Micros::from_millis(2_000)));
+    assert!(set.groups && set.probes && !set.retry_after);
+    let prices = Prices {
+        cross_zone: 0.028,
+        moves: 0.042,
+        probe: 0.0026,
+        waste: 0.15,
+        handshake: 0.0,
+        late_fail: 0.03,
+    };
+    assert_eq!(set.prices, prices);
+    let shares: Vec<(u32, f64)> =
+        set.tenants.iter().map(|t| ((t.share * 100.0).round() as u32, t.quota_per_s)).collect();
+    assert_eq!(shares, [(37, 3.0), (29, 3.0), (21, 2.0), (13, 1.0)]);
+    assert_eq!(set.cpu_us_per_s, Some(500_000.0));
+    let classes: Vec<_> =
+        set.classes.iter().map(|c| (c.aim.0, c.worth, c.message_aim.map(|aim| aim.0))).collect();
+    let wanted = [(800_000, 5.0, Some(50_000)), (800_000, 3.0, Some(50_000)), (500_000, 1.0, Some(150_000))];
+    assert_eq!(classes, wanted);
+}
+
+#[test]
+fn what_ege_photo_feed_states_arrives() {
+    let set = parsed(EGE);
+    assert_eq!((set.balancers, set.zone), (2, 0));
+    assert!(!set.gone_is_advice, "being called gone binds as draining does");
+    assert_eq!((set.cold, set.cold_from), (Micros::from_millis(24_000), 0.14));
+    assert_eq!((set.fall_multiple, set.overload_for), (3.0, Micros::from_millis(3_000)));
+    assert_eq!((set.max_attempts, set.drain_grace), (4, Micros::from_millis(500)));
+    assert!(set.groups && set.probes && !set.retry_after);
+    assert_eq!(set.weights, Weights::Size);
+    let prices = Prices {
+        cross_zone: 0.0,
+        moves: 0.013,
+        probe: 0.002,
+        waste: 0.057,
+        handshake: 0.02,
+        late_fail: 0.045,
+    };
+    assert_eq!(set.prices, prices);
+    let shares: Vec<u32> = set.tenants.iter().map(|t| (t.share * 100.0).round() as u32).collect();
+    assert_eq!(shares, [27, 21, 19, 17, 9, 7]);
+    assert_eq!(set.cpu_us_per_s, Some(20_000.0));
+}
+
+#[test]
+fn a_configuration_arrives_as_the_first_message_does() {
+    for text in [DFA, DOGU, EGE] {
+        let configured = configured(text, &[]).expect("the same settings");
+        assert_eq!(format!("{configured:?}"), format!("{:?}", parsed(text)));
+    }
+    // No wire states what a group's work weighs: the briefs do, and configurations can.
+    let set = configured(DOGU, &[("extra.group_load", "2")]).expect("settings with a group's load");
+    assert_eq!(set.group_load, 2.0);
+}
+
+#[test]
+fn what_cannot_be_a_price_a_share_or_a_limit_is_named() {
+    for (key, value) in [
+        ("charges.cross_zone", "-0.1"),
+        ("charges.probe", "dear"),
+        ("tenants.count", "four"),
+        ("tenants.2.share", "NaN"),
+        ("allowed.cpu_us_per_s", "-1"),
+    ] {
+        match configured(DOGU, &[(key, value)]) {
+            Err(SettingsError::Bad { key: named, .. }) => assert_eq!(named, format!("settings.{key}")),
+            other => panic!("{key}: {other:?}"),
+        }
+    }
+}
--- a/crates/alderstile-lab/src/emulated/fleet.rs
+++ b/crates/alderstile-lab/src/emulated/fleet.rs
@@ -406,6 +406,10 @@
         deadline_drift: Micros(0),
         gone_is_advice: false,
         stamp_doubt: Micros(0),
+        drain_grace: Micros(0),
+        prices: Prices::default(),
+        tenants: Vec::new(),
+        cpu_us_per_s: None,
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,6 +146,32 @@
     pub further: u32,
 }
 
+/// What the operators charge for what a node does, in shares of the service; nothing where none is stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// Attempts that cross zones, for each first try.
+    pub cross_zone: f64,
+    /// Moves, for each first try.
+    pub moves: f64,
+    /// Probes, for each first try.
+    pub probe: f64,
+    /// Work that served nothing, for all the work offered.
+    pub waste: f64,
+    /// New connections, for each first try.
+    pub handshake: f64,
+    /// Worth that ended unserved after its aim, for all the worth offered.
+    pub late_fail: f64,
+}
+
+/// One who shares the service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantSettings {
+    /// The part of the service that is this tenant's.
+    pub share: f64,
+    /// New requests a second within it, at all nodes together.
+    pub quota_per_s: f64,
+}
+
 /// What an instance is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -199,6 +225,14 @@
     pub gone_is_advice: bool,
     /// How far a listed start may be off, either way.
     pub stamp_doubt: Micros,
+    /// Sending must stop this long after a drain was told of at the latest; the decisions stop at once.
+    pub drain_grace: Micros,
+    /// What is charged.
+    pub prices: Prices,
+    /// Those who share the service, where shares are stated.
+    pub tenants: Vec<TenantSettings>,
+    /// The CPU that decisions may take, in microseconds a second, where stated.
+    pub cpu_us_per_s: Option<f64>,
 }
 
 /// What a server list says of one server.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -189,9 +189,34 @@
         deadline_drift: keys.micros("obligations.deadline_drift").or_else(absent(Micros(0)))?,
         gone_is_advice: keys.flag("obligations.gone_is_advice").or_else(absent(false))?,
         stamp_doubt: keys.micros("obligations.stamp_doubt").or_else(absent(Micros(0)))?,
+        drain_grace: keys.micros("obligations.stop_sending_within").or_else(absent(Micros(0)))?,
+        prices: prices(keys)?,
+        tenants: tenants(keys)?,
+        cpu_us_per_s: keys.number("allowed.cpu_us_per_s").map(Some).or_else(absent(None))?,
     })
 }
 
+fn prices(keys: &Keys) -> Result<Prices, SettingsError> {
+    let price = |name: &str| keys.number(&format!("charges.{name}")).or_else(absent(0.0));
+    Ok(Prices {
+        cross_zone: price("cross_zone")?,
+        moves: price("moves")?,
+        probe: price("probe")?,
+        waste: price("waste")?,
+        handshake: price("handshake")?,
+        late_fail: price("late_fail")?,
+    })
+}
+
+/// Who shares the service: nobody where no count is stated.
+fn tenants(keys: &Keys) -> Result<Vec<TenantSettings>, SettingsError> {
+    let count: u16 = keys.read("tenants.count", "a whole number").or_else(absent(0))?;
+    let number = |i: u16, field: &str| keys.number(&format!("tenants.{i}.{field}")).or_else(absent(0.0));
+    let tenant =
+        |i| Ok(TenantSettings { share: number(i, "share")?, quota_per_s: number(i, "quota_per_s")? });
+    (0..count).map(tenant).collect()
+}
+
 /// The budget of further attempts: all three keys or none, as a part of them limits nothing.
 fn resends(keys: &Keys) -> Result<Option<ResendBudget>, SettingsError> {
     let [free, ratio, over] =
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -41,6 +41,10 @@
         deadline_drift: ms(0),
         gone_is_advice: false,
         stamp_doubt: ms(0),
+        drain_grace: ms(0),
+        prices: Prices::default(),
+        tenants: Vec::new(),
+        cpu_us_per_s: None,
     }
 }
 
