Slow ways: the last connection leaves, time-outs leave time, the own zone first, unseen lateness 30 s

Struck hosts share no zone, kind, cell or start (by the pairs in the trace: 18, 15 and 13 of the three zones), so pooling by zone is ruled out. Attempts have a time-out: four usual set-ups, the aim at least.

Also: the list is asked for again after 0.5, 1 and 2 s at most in place of 4 s, so that half of the 6 s after which its news counts as told is left for its queue.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,7 @@
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
 /// The same for a server that holds none of this node's connections.
-const DELAY_UNSEEN: Micros = Micros::from_millis(12_000);
+const DELAY_UNSEEN: Micros = Micros::from_millis(30_000);
 /// Below this many connections on a server, in the mean, the own record tells next to nothing of a server.
 const FEW: f64 = 1.0;
 /// Piled work that was told is to be gone after this long.
@@ -69,8 +69,14 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
+/// An attempt may take this many usual set-ups, the set-up aim at least.
+const UNUSUAL: f64 = 4.0;
+/// Where crossing zones is charged for, a server in the own zone draws so much more than one in another.
+const NEAR: f64 = 3.0;
 /// The first wait before the list is asked for again; doubled after each failure.
 const ASK_AGAIN: Micros = Micros::from_millis(500);
+/// So many times at most.
+const ASK_DOUBLINGS: u32 = 2;
 /// What a period gives back of the load at which a server was full.
 const LIMIT_GAIN: f64 = 1.05;
 /// The share of a full server's room that is kept for the classes worth most for their load.
@@ -189,6 +195,8 @@
     /// The first attempt that may have run: its server and when it was sent.
     ran: Option<(usize, Micros)>,
     sent: Micros,
+    /// The attempt that is out has a time-out of its own.
+    timed: bool,
     /// When that server had started, as far as was known then.
     started: Option<Micros>,
     /// Its class as it was when it came.
@@ -207,6 +215,7 @@
             tried: Vec::new(),
             ran: None,
             sent: now,
+            timed: false,
             started: None,
             class: None,
             told: request.hint.filter(is_load),
@@ -229,6 +238,10 @@
     usual_setup_ms: Mean,
     /// What warm servers usually held of late, as [`Policy::held`].
     usual_held: Mean,
+    /// Requests taken a second, usually, and in this period so far; attempts that are out.
+    usual_taken: Mean,
+    taken: u32,
+    trying: u32,
     /// Saved further attempts, where no budget is stated, and their count where one is.
     retry_tokens: f64,
     ledger: Ledger,
@@ -261,6 +274,9 @@
             held_load: vec![(0.0, 0); classes],
             usual_setup_ms: Mean::default(),
             usual_held: Mean::default(),
+            usual_taken: Mean::default(),
+            taken: 0,
+            trying: 0,
             retry_tokens: RETRY_CAP,
             ledger: Ledger::default(),
             ask_failures: 0,
@@ -287,6 +303,7 @@
             Event::Request(request) => {
                 self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
                 self.count(now, 1, 0);
+                self.taken += 1;
                 let conn = self.conn(now, request);
                 self.attempt(now, conn, out);
             }
@@ -340,7 +357,8 @@
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // A subscription that broke is asked for again, later each time but within the list's own limit.
-            let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
+            // From the list's return until what it has counts as told: half for the wait, half for its queue.
+            let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(ASK_DOUBLINGS)));
             let wait = wait.scale(0.5 + self.rng.random::<f64>()).min(self.set.must_ask_in.scale(0.5));
             if self.set.must_ask && !self.asking {
                 self.asking = true;
@@ -470,7 +488,10 @@
 
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
     fn power(&self, s: usize) -> f64 {
-        self.size(s) * (1.0 - self.servers[s].slowness)
+        // Guards against a way between zones that is slow, cut or charged for.
+        let own = self.set.prices.cross_zone > 0.0 && self.servers[s].entry.zone == self.set.zone;
+        let near = if own { NEAR } else { 1.0 };
+        self.size(s) * (1.0 - self.servers[s].slowness) * near
     }
 
     /// The usual load of a class.
@@ -510,6 +531,7 @@
         let Some(s) = conn.stage.server() else { return };
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
+        self.trying += u32::from(conn.stage.trying());
         match conn.told {
             Some(load) => {
                 server.told_sum += load;
@@ -529,6 +551,7 @@
         let Some(s) = conn.stage.server() else { return };
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
+        self.trying -= u32::from(conn.stage.trying());
         match conn.told {
             Some(load) => {
                 server.told_sum = (server.told_sum - load).max(0.0);
@@ -628,8 +651,22 @@
             return;
         }
         self.count(now, 0, u32::from(further));
-        out.push(Action::Send(id, self.servers[s].entry.id, None));
-        self.send(now, s, conn);
+        let timeout = self.attempt_timeout(now, &conn);
+        out.push(Action::Send(id, self.servers[s].entry.id, timeout));
+        self.send(now, s, Conn { timed: timeout.is_some(), ..conn });
+    }
+
+    /// How long an attempt may take: guards against the server that takes requests and answers none. Nothing
+    /// where no time would be left for another, or where all take long: a repeat would wait anew.
+    fn attempt_timeout(&self, now: Micros, conn: &Conn) -> Option<Micros> {
+        let usual = Micros((self.usual_setup_ms.0? * 1_000.0 * UNUSUAL) as u64);
+        let wait = conn.class.as_ref()?.aim.max(usual);
+        // Where more is out than the requests of such a wait (Little's law), all take long: clients that come
+        // back together would be sent again and again.
+        if f64::from(self.trying) > 2.0 + self.usual_taken.0.unwrap_or(0.0) * wait.as_secs_f64() {
+            return None;
+        }
+        (now + wait.scale(2.0) <= conn.deadline).then_some(wait)
     }
 
     fn send(&mut self, now: Micros, s: usize, mut conn: Conn) {
@@ -820,6 +857,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
+        self.trying -= 1;
         conn.ran.get_or_insert((s, conn.sent));
         let request = conn.request;
         self.learn(&request, request.hint);
@@ -829,20 +867,20 @@
             (server.started, server.permits) = (Some(now), 0);
         }
         server.shut = false;
+        let took = latency.as_secs_f64() * 1e3;
+        let usual = self.usual_setup_ms.0.unwrap_or(took);
+        // A slow server must not pass for usual, but where all are slow that is the usual soon.
+        self.usual_setup_ms.add(took.min(2.0 * usual));
         if !self.set.tells_delay {
-            self.setup_took(now, s, latency, out);
+            self.setup_took(now, s, took - usual, out);
         }
     }
 
     /// Guards against a slow server that draws new work and keeps its clients because nothing tells that its
     /// messages are late: what a set-up takes above the usual is taken for what a message waits there. One
     /// node's set-ups are few, so the others hear of it.
-    fn setup_took(&mut self, now: Micros, s: usize, latency: Micros, out: &mut Vec<Action>) {
-        let (id, took) = (self.servers[s].entry.id, latency.as_secs_f64() * 1e3);
-        let usual = self.usual_setup_ms.0.unwrap_or(took);
-        // A slow server must not pass for usual, but where all are slow that is the usual soon.
-        self.usual_setup_ms.add(took.min(2.0 * usual));
-        let waits = (took - usual).max(0.0);
+    fn setup_took(&mut self, now: Micros, s: usize, above: f64, out: &mut Vec<Action>) {
+        let (id, waits) = (self.servers[s].entry.id, above.max(0.0));
         // Below a whole aim one may be long by its own work: the next there, due now, has to be long too.
         let bar = self.late_at.as_secs_f64() * 1e3;
         let before = self.servers[s].delay.is_some_and(|d| d.span >= self.late_at);
@@ -866,6 +904,11 @@
         self.ended += u32::from(itself && matches!(conn.stage, Stage::Open(_)));
         if let Some(s) = conn.stage.server() {
             self.judge(now, s, &conn, outcome, out);
+            if outcome == Outcome::Timeout && conn.timed {
+                // Guards against a fleet that is slow as a whole, where time-outs would add to its work.
+                let took = (now - conn.sent).as_secs_f64() * 1e3;
+                self.usual_setup_ms.add(self.usual_setup_ms.0.map_or(took, |usual| took.min(2.0 * usual)));
+            }
             if outcome.may_have_run() {
                 conn.ran.get_or_insert((s, conn.sent));
             }
@@ -874,8 +917,9 @@
             return;
         }
         conn.stage = Stage::Held;
-        // The client's time is over, whatever was told of it: no attempt has a time-out of its own.
-        let over = matches!(outcome, Outcome::Timeout | Outcome::Moot) && self.set.deadline_drift > Micros(0);
+        // The client's time is over, whatever was told of it, unless the attempt had a time-out of its own.
+        let late = matches!(outcome, Outcome::Timeout | Outcome::Moot) && !conn.timed;
+        let over = late && self.set.deadline_drift > Micros(0);
         // What the node itself did not send is no load on anyone.
         let saved = self.set.resends.is_none() && outcome != Outcome::Unsent;
         if over || (saved && self.retry_tokens < 1.0) {
@@ -925,6 +969,7 @@
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
         self.log_left = LOG_LINES;
         self.stood += self.conns.len() as f64 * PERIOD.as_secs_f64();
+        self.usual_taken.add(f64::from(std::mem::take(&mut self.taken)) / PERIOD.as_secs_f64());
         let held = self.held(now);
         self.usual_held.add(held);
         // Guards against a release that leaves but a slow server warm, which holds next to nothing: what
@@ -1024,9 +1069,12 @@
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         // A late server may lose its last connection too; and by chance for less than that where each of many
-        // nodes holds one there, or none of them would begin.
+        // nodes holds one there, or none would begin, and where what stays earns nothing: a way that is slow
+        // keeps a steady delay, and half of one connection would ask for no move for as long as that lasts.
         let part = excess.min(REACTIVE_SHARE * lightest);
-        if few && reactive > 0.0 && excess < lightest && part > lightest * self.rng.random::<f64>() {
+        let lost = self.servers[s].delay.is_some_and(|d| d.span.scale(LATE_SHARE) >= self.late_at);
+        if (few || lost) && reactive > 0.0 && excess < lightest && part > lightest * self.rng.random::<f64>()
+        {
             excess = lightest;
         }
         if excess < lightest || (excess == lightest && reactive == 0.0) {
