A list that is wrong about one server is wrong about all it called gone at once; probes are earned

The trace: 35 running servers called gone by one list at 14.7 s, from then on 4,270 probes a second until it was right again; all answered. What a node was told was not so, and it showed in the connections that stood on at those servers. Ruled out: lost clients (no reset, no failed set-up in the trace), the cold budget (none cold). At fault: period() probed each server called gone without connections of this node, once a second and node, whatever else was known; with 150 nodes that hold one in six that is nearly all. Change: servers are judged by the list that called them gone: where one of them runs (connections of this node, or a probe's answer for 8 s) they count as up. Else one probe for each request taken, three saved up, the longest unprobed first. Should also hold against old or emptied lists; might hurt where a zone dies but for one server, by a connect time-out a server and node.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,9 +11,11 @@
 
 use crate::interface::*;
 
+mod record;
 mod sums;
 mod watch;
 
+use record::{Conn, Stage};
 use sums::{LOAD_LIMIT, Ledger, Mean, drop_one, is_load, lot, passed, shared_chance};
 
 /// The design's period: loads are summed and compared this often.
@@ -87,6 +89,10 @@
 const CROWDED: f64 = 0.7;
 /// Servers that a request may look at by a probe before it lands.
 const LOOKS: u32 = 3;
+/// A probe that found a server running counts this long.
+const FOUND_FRESH: Micros = Micros::from_millis(8_000);
+/// Probes of what is called gone that may be saved up; each request taken earns one.
+const PROBE_CAP: f64 = 3.0;
 /// The longest wait for a look: a small share of any set-up aim.
 const LOOK_WAIT: Micros = Micros::from_millis(50);
 /// Where only set-ups tell of delays, each server is to have one this often, by any node.
@@ -148,8 +154,11 @@
     fell: bool,
     /// It was told to drain, and not to be ready since.
     drains: bool,
-    /// When a probe last found it running.
+    /// When a probe last found it running, and when one was last sent.
     found: Option<Micros>,
+    probed: Micros,
+    /// The list that called it gone, by its number: those that one list calls gone are judged together.
+    called: u32,
     paused_until: Micros,
     /// While cold: the connections that it may still be sent in this period, and parts of one.
     permits: u32,
@@ -160,69 +169,6 @@
     lookers: Vec<RequestId>,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// Accepted, no attempt out.
-    Held,
-    /// An attempt is out at this server.
-    Trying(usize),
-    /// A connection at this server.
-    Open(usize),
-    /// A connection that was asked to move.
-    Leaving(usize),
-}
-
-impl Stage {
-    fn server(self) -> Option<usize> {
-        match self {
-            Stage::Held => None,
-            Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s) => Some(s),
-        }
-    }
-
-    fn trying(self) -> bool {
-        matches!(self, Stage::Trying(_))
-    }
-}
-
-struct Conn {
-    request: Request,
-    deadline: Micros,
-    stage: Stage,
-    /// Probes it has waited for.
-    looks: u32,
-    tried: Vec<usize>,
-    /// The first attempt that may have run: its server and when it was sent.
-    ran: Option<(usize, Micros)>,
-    sent: Micros,
-    /// The attempt that is out has a time-out of its own.
-    timed: bool,
-    /// When that server had started, as far as was known then.
-    started: Option<Micros>,
-    /// Its class as it was when it came.
-    class: Option<ClassSettings>,
-    /// The load last told.
-    told: Option<f64>,
-}
-
-impl Conn {
-    fn new(now: Micros, request: Request) -> Self {
-        Conn {
-            request,
-            deadline: now + request.remaining,
-            stage: Stage::Held,
-            looks: 0,
-            tried: Vec::new(),
-            ran: None,
-            sent: now,
-            timed: false,
-            started: None,
-            class: None,
-            told: request.hint.filter(is_load),
-        }
-    }
-}
-
 /// The decisions of one node.
 pub struct Policy {
     set: Settings,
@@ -248,6 +194,11 @@
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
+    /// Lists that came, and those whose word on what is gone has been shown to be wrong.
+    lists: u32,
+    doubted: BTreeSet<u32>,
+    /// Saved probes of what is called gone.
+    probe_tokens: f64,
     /// Log lines that this period may still write.
     log_left: u32,
     late_at: Micros,
@@ -281,6 +232,9 @@
             ledger: Ledger::default(),
             ask_failures: 0,
             asking: false,
+            lists: 0,
+            doubted: BTreeSet::new(),
+            probe_tokens: PROBE_CAP,
             log_left: LOG_LINES,
         }
     }
@@ -302,6 +256,7 @@
             Event::List(kind, entries) => self.list(now, kind, entries, out),
             Event::Request(request) => {
                 self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
+                self.probe_tokens = (self.probe_tokens + 1.0).min(PROBE_CAP);
                 self.count(now, 1, 0);
                 self.taken += 1;
                 let conn = self.conn(now, request);
@@ -369,15 +324,19 @@
             return;
         }
         self.ask_failures = 0;
+        self.lists += 1;
         if kind != ListKind::Delta {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
             for server in self.servers.iter_mut().filter(|s| !named.contains(&s.entry.id)) {
-                server.entry.state = ServerState::Gone;
+                if server.entry.state != ServerState::Gone {
+                    (server.entry.state, server.called) = (ServerState::Gone, self.lists);
+                }
             }
         }
         for entry in entries {
             self.listed(now, entry);
         }
+        self.doubt(now);
     }
 
     fn listed(&mut self, now: Micros, entry: ServerEntry) {
@@ -401,6 +360,9 @@
             (server.failures, server.shut, server.permits, server.paused_until) = (0, false, 0, Micros(0));
         }
         let server = &mut self.servers[s];
+        if entry.state == ServerState::Gone && server.entry.state != ServerState::Gone {
+            server.called = self.lists;
+        }
         server.entry = entry;
         server.drains = entry.state == ServerState::Draining || (server.drains && !entry.ready());
     }
@@ -413,10 +375,37 @@
 
     /// Whether the list and what is known beside it let new work go there.
     fn up(&self, now: Micros, s: usize) -> bool {
-        // Guards against a list that calls running servers gone: what stands there, or answers, is not.
-        let found = |server: &Server| server.found.is_some_and(|at| now < at + SEEN_FRESH);
-        let runs = |server: &Server| found(server) || !server.conns.is_empty();
-        self.servers[s].entry.ready() || (self.called_gone(s) && runs(&self.servers[s]))
+        let doubted = || self.doubted.contains(&self.servers[s].called) || self.runs(now, s);
+        self.servers[s].entry.ready() || (self.called_gone(s) && doubted())
+    }
+
+    /// Whether something of this node's stands there, or a probe has answered of late.
+    fn runs(&self, now: Micros, s: usize) -> bool {
+        let server = &self.servers[s];
+        !server.conns.is_empty() || server.found.is_some_and(|at| now < at + FOUND_FRESH)
+    }
+
+    /// Guards against a list that calls running servers gone: where one of those that it called gone together
+    /// runs, that list is wrong about all of them.
+    fn doubt(&mut self, now: Micros) {
+        let runs = |&s: &usize| self.called_gone(s) && self.runs(now, s);
+        let wrong = (0..self.servers.len()).filter(runs).map(|s| self.servers[s].called);
+        self.doubted = wrong.collect();
+    }
+
+    /// Probes of what is called gone where nothing tells whether it runs: one for each request taken and no
+    /// more, those first that were not probed for longest.
+    fn probe_gone(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let silent = |&s: &usize| self.called_gone(s) && !self.up(now, s);
+        let mut silent: Vec<usize> = (0..self.servers.len()).filter(silent).collect();
+        silent.sort_by_key(|&s| self.servers[s].probed);
+        for s in silent.into_iter().take(self.probe_tokens as usize) {
+            self.probe_tokens -= 1.0;
+            // It went down or came back in the meantime: its first set-up is tried alone.
+            let server = &mut self.servers[s];
+            (server.fell, server.probed) = (true, now);
+            out.push(Action::Probe(server.entry.id));
+        }
     }
 
     /// A server is due for a set-up by this node this long after its last.
@@ -703,6 +692,7 @@
     fn probed(&mut self, now: Micros, id: ServerId, how: Outcome, report: &[f64], out: &mut Vec<Action>) {
         let Some(&s) = self.by_id.get(&id) else { return };
         self.servers[s].found = (how == Outcome::Ok).then_some(now);
+        self.doubt(now);
         let ratio = self.set.report_fields.iter().position(|field| *field == ReportField::LoadRatio);
         let ratio = ratio.and_then(|i| report.get(i)).filter(|ratio| is_load(ratio));
         self.servers[s].seen = ratio.map(|ratio| (*ratio, now)).or(self.servers[s].seen);
@@ -980,14 +970,14 @@
             let server = &mut self.servers[s];
             server.slowness = (server.slowness - SPEED_GAIN).max(0.0);
             server.limit = server.limit.map(|limit| limit * LIMIT_GAIN);
-            let called_gone = self.called_gone(s) && self.servers[s].conns.is_empty();
-            if (self.set.probes && called_gone) || (self.reports() && self.up(now, s) && self.unseen(now, s))
-            {
-                // It went down or came back in the meantime: its first set-up is tried alone.
-                self.servers[s].fell |= called_gone;
+            if self.reports() && self.up(now, s) && self.unseen(now, s) {
                 out.push(Action::Probe(self.servers[s].entry.id));
             }
         }
+        self.doubt(now);
+        if self.set.probes {
+            self.probe_gone(now, out);
+        }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
             let drains = self.servers[s].entry.state == ServerState::Draining && self.set.empty_draining;
