--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,9 +11,11 @@
 
 use crate::interface::*;
 
+mod record;
 mod sums;
 mod watch;
 
+use record::{Conn, Stage};
 use sums::{LOAD_LIMIT, Ledger, Mean, drop_one, is_load, lot, passed, shared_chance};
 
 /// The design's period: loads are summed and compared this often.
@@ -34,7 +36,7 @@
 /// A told delay counts this long; notes come once a second while messages are late.
 const DELAY_FRESH: Micros = Micros::from_millis(1_600);
 /// The same for a server that holds none of this node's connections.
-const DELAY_UNSEEN: Micros = Micros::from_millis(12_000);
+const DELAY_UNSEEN: Micros = Micros::from_millis(30_000);
 /// Below this many connections on a server, in the mean, the own record tells next to nothing of a server.
 const FEW: f64 = 1.0;
 /// Piled work that was told is to be gone after this long.
@@ -69,8 +71,14 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
+/// An attempt may take this many usual set-ups, the set-up aim at least.
+const UNUSUAL: f64 = 4.0;
+/// Where crossing zones is charged for, a server in the own zone draws so much more than one in another.
+const NEAR: f64 = 3.0;
 /// The first wait before the list is asked for again; doubled after each failure.
 const ASK_AGAIN: Micros = Micros::from_millis(500);
+/// So many times at most.
+const ASK_DOUBLINGS: u32 = 2;
 /// What a period gives back of the load at which a server was full.
 const LIMIT_GAIN: f64 = 1.05;
 /// The share of a full server's room that is kept for the classes worth most for their load.
@@ -81,6 +89,10 @@
 const CROWDED: f64 = 0.7;
 /// Servers that a request may look at by a probe before it lands.
 const LOOKS: u32 = 3;
+/// A probe that found a server running counts this long.
+const FOUND_FRESH: Micros = Micros::from_millis(8_000);
+/// Probes of what is called gone that may be saved up; each request taken earns one.
+const PROBE_CAP: f64 = 3.0;
 /// The longest wait for a look: a small share of any set-up aim.
 const LOOK_WAIT: Micros = Micros::from_millis(50);
 /// Where only set-ups tell of delays, each server is to have one this often, by any node.
@@ -142,8 +154,11 @@
     fell: bool,
     /// It was told to drain, and not to be ready since.
     drains: bool,
-    /// When a probe last found it running.
+    /// When a probe last found it running, and when one was last sent.
     found: Option<Micros>,
+    probed: Micros,
+    /// The list that called it gone, by its number: those that one list calls gone are judged together.
+    called: u32,
     paused_until: Micros,
     /// While cold: the connections that it may still be sent in this period, and parts of one.
     permits: u32,
@@ -154,66 +169,6 @@
     lookers: Vec<RequestId>,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// Accepted, no attempt out.
-    Held,
-    /// An attempt is out at this server.
-    Trying(usize),
-    /// A connection at this server.
-    Open(usize),
-    /// A connection that was asked to move.
-    Leaving(usize),
-}
-
-impl Stage {
-    fn server(self) -> Option<usize> {
-        match self {
-            Stage::Held => None,
-            Stage::Trying(s) | Stage::Open(s) | Stage::Leaving(s) => Some(s),
-        }
-    }
-
-    fn trying(self) -> bool {
-        matches!(self, Stage::Trying(_))
-    }
-}
-
-struct Conn {
-    request: Request,
-    deadline: Micros,
-    stage: Stage,
-    /// Probes it has waited for.
-    looks: u32,
-    tried: Vec<usize>,
-    /// The first attempt that may have run: its server and when it was sent.
-    ran: Option<(usize, Micros)>,
-    sent: Micros,
-    /// When that server had started, as far as was known then.
-    started: Option<Micros>,
-    /// Its class as it was when it came.
-    class: Option<ClassSettings>,
-    /// The load last told.
-    told: Option<f64>,
-}
-
-impl Conn {
-    fn new(now: Micros, request: Request) -> Self {
-        Conn {
-            request,
-            deadline: now + request.remaining,
-            stage: Stage::Held,
-            looks: 0,
-            tried: Vec::new(),
-            ran: None,
-            sent: now,
-            started: None,
-            class: None,
-            told: request.hint.filter(is_load),
-        }
-    }
-}
-
 /// The decisions of one node.
 pub struct Policy {
     set: Settings,
@@ -229,12 +184,21 @@
     usual_setup_ms: Mean,
     /// What warm servers usually held of late, as [`Policy::held`].
     usual_held: Mean,
+    /// Requests taken a second, usually, and in this period so far; attempts that are out.
+    usual_taken: Mean,
+    taken: u32,
+    trying: u32,
     /// Saved further attempts, where no budget is stated, and their count where one is.
     retry_tokens: f64,
     ledger: Ledger,
     ask_failures: u32,
     /// A timer for asking again is set.
     asking: bool,
+    /// Lists that came, and those whose word on what is gone has been shown to be wrong.
+    lists: u32,
+    doubted: BTreeSet<u32>,
+    /// Saved probes of what is called gone.
+    probe_tokens: f64,
     /// Log lines that this period may still write.
     log_left: u32,
     late_at: Micros,
@@ -261,10 +225,16 @@
             held_load: vec![(0.0, 0); classes],
             usual_setup_ms: Mean::default(),
             usual_held: Mean::default(),
+            usual_taken: Mean::default(),
+            taken: 0,
+            trying: 0,
             retry_tokens: RETRY_CAP,
             ledger: Ledger::default(),
             ask_failures: 0,
             asking: false,
+            lists: 0,
+            doubted: BTreeSet::new(),
+            probe_tokens: PROBE_CAP,
             log_left: LOG_LINES,
         }
     }
@@ -286,7 +256,9 @@
             Event::List(kind, entries) => self.list(now, kind, entries, out),
             Event::Request(request) => {
                 self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(RETRY_CAP);
+                self.probe_tokens = (self.probe_tokens + 1.0).min(PROBE_CAP);
                 self.count(now, 1, 0);
+                self.taken += 1;
                 let conn = self.conn(now, request);
                 self.attempt(now, conn, out);
             }
@@ -340,7 +312,8 @@
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // A subscription that broke is asked for again, later each time but within the list's own limit.
-            let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(3)));
+            // From the list's return until what it has counts as told: half for the wait, half for its queue.
+            let wait = ASK_AGAIN.scale(f64::from(1 << self.ask_failures.min(ASK_DOUBLINGS)));
             let wait = wait.scale(0.5 + self.rng.random::<f64>()).min(self.set.must_ask_in.scale(0.5));
             if self.set.must_ask && !self.asking {
                 self.asking = true;
@@ -351,15 +324,19 @@
             return;
         }
         self.ask_failures = 0;
+        self.lists += 1;
         if kind != ListKind::Delta {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
             for server in self.servers.iter_mut().filter(|s| !named.contains(&s.entry.id)) {
-                server.entry.state = ServerState::Gone;
+                if server.entry.state != ServerState::Gone {
+                    (server.entry.state, server.called) = (ServerState::Gone, self.lists);
+                }
             }
         }
         for entry in entries {
             self.listed(now, entry);
         }
+        self.doubt(now);
     }
 
     fn listed(&mut self, now: Micros, entry: ServerEntry) {
@@ -383,6 +360,9 @@
             (server.failures, server.shut, server.permits, server.paused_until) = (0, false, 0, Micros(0));
         }
         let server = &mut self.servers[s];
+        if entry.state == ServerState::Gone && server.entry.state != ServerState::Gone {
+            server.called = self.lists;
+        }
         server.entry = entry;
         server.drains = entry.state == ServerState::Draining || (server.drains && !entry.ready());
     }
@@ -395,10 +375,37 @@
 
     /// Whether the list and what is known beside it let new work go there.
     fn up(&self, now: Micros, s: usize) -> bool {
-        // Guards against a list that calls running servers gone: what stands there, or answers, is not.
-        let found = |server: &Server| server.found.is_some_and(|at| now < at + SEEN_FRESH);
-        let runs = |server: &Server| found(server) || !server.conns.is_empty();
-        self.servers[s].entry.ready() || (self.called_gone(s) && runs(&self.servers[s]))
+        let doubted = || self.doubted.contains(&self.servers[s].called) || self.runs(now, s);
+        self.servers[s].entry.ready() || (self.called_gone(s) && doubted())
+    }
+
+    /// Whether something of this node's stands there, or a probe has answered of late.
+    fn runs(&self, now: Micros, s: usize) -> bool {
+        let server = &self.servers[s];
+        !server.conns.is_empty() || server.found.is_some_and(|at| now < at + FOUND_FRESH)
+    }
+
+    /// Guards against a list that calls running servers gone: where one of those that it called gone together
+    /// runs, that list is wrong about all of them.
+    fn doubt(&mut self, now: Micros) {
+        let runs = |&s: &usize| self.called_gone(s) && self.runs(now, s);
+        let wrong = (0..self.servers.len()).filter(runs).map(|s| self.servers[s].called);
+        self.doubted = wrong.collect();
+    }
+
+    /// Probes of what is called gone where nothing tells whether it runs: one for each request taken and no
+    /// more, those first that were not probed for longest.
+    fn probe_gone(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let silent = |&s: &usize| self.called_gone(s) && !self.up(now, s);
+        let mut silent: Vec<usize> = (0..self.servers.len()).filter(silent).collect();
+        silent.sort_by_key(|&s| self.servers[s].probed);
+        for s in silent.into_iter().take(self.probe_tokens as usize) {
+            self.probe_tokens -= 1.0;
+            // It went down or came back in the meantime: its first set-up is tried alone.
+            let server = &mut self.servers[s];
+            (server.fell, server.probed) = (true, now);
+            out.push(Action::Probe(server.entry.id));
+        }
     }
 
     /// A server is due for a set-up by this node this long after its last.
@@ -470,7 +477,10 @@
 
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
     fn power(&self, s: usize) -> f64 {
-        self.size(s) * (1.0 - self.servers[s].slowness)
+        // Guards against a way between zones that is slow, cut or charged for.
+        let own = self.set.prices.cross_zone > 0.0 && self.servers[s].entry.zone == self.set.zone;
+        let near = if own { NEAR } else { 1.0 };
+        self.size(s) * (1.0 - self.servers[s].slowness) * near
     }
 
     /// The usual load of a class.
@@ -510,6 +520,7 @@
         let Some(s) = conn.stage.server() else { return };
         let server = &mut self.servers[s];
         server.conns.insert(conn.request.id);
+        self.trying += u32::from(conn.stage.trying());
         match conn.told {
             Some(load) => {
                 server.told_sum += load;
@@ -529,6 +540,7 @@
         let Some(s) = conn.stage.server() else { return };
         let server = &mut self.servers[s];
         server.conns.remove(&conn.request.id);
+        self.trying -= u32::from(conn.stage.trying());
         match conn.told {
             Some(load) => {
                 server.told_sum = (server.told_sum - load).max(0.0);
@@ -628,8 +640,22 @@
             return;
         }
         self.count(now, 0, u32::from(further));
-        out.push(Action::Send(id, self.servers[s].entry.id, None));
-        self.send(now, s, conn);
+        let timeout = self.attempt_timeout(now, &conn);
+        out.push(Action::Send(id, self.servers[s].entry.id, timeout));
+        self.send(now, s, Conn { timed: timeout.is_some(), ..conn });
+    }
+
+    /// How long an attempt may take: guards against the server that takes requests and answers none. Nothing
+    /// where no time would be left for another, or where all take long: a repeat would wait anew.
+    fn attempt_timeout(&self, now: Micros, conn: &Conn) -> Option<Micros> {
+        let usual = Micros((self.usual_setup_ms.0? * 1_000.0 * UNUSUAL) as u64);
+        let wait = conn.class.as_ref()?.aim.max(usual);
+        // Where more is out than the requests of such a wait (Little's law), all take long: clients that come
+        // back together would be sent again and again.
+        if f64::from(self.trying) > 2.0 + self.usual_taken.0.unwrap_or(0.0) * wait.as_secs_f64() {
+            return None;
+        }
+        (now + wait.scale(2.0) <= conn.deadline).then_some(wait)
     }
 
     fn send(&mut self, now: Micros, s: usize, mut conn: Conn) {
@@ -666,6 +692,7 @@
     fn probed(&mut self, now: Micros, id: ServerId, how: Outcome, report: &[f64], out: &mut Vec<Action>) {
         let Some(&s) = self.by_id.get(&id) else { return };
         self.servers[s].found = (how == Outcome::Ok).then_some(now);
+        self.doubt(now);
         let ratio = self.set.report_fields.iter().position(|field| *field == ReportField::LoadRatio);
         let ratio = ratio.and_then(|i| report.get(i)).filter(|ratio| is_load(ratio));
         self.servers[s].seen = ratio.map(|ratio| (*ratio, now)).or(self.servers[s].seen);
@@ -820,6 +847,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let Stage::Trying(s) = conn.stage else { return };
         conn.stage = Stage::Open(s);
+        self.trying -= 1;
         conn.ran.get_or_insert((s, conn.sent));
         let request = conn.request;
         self.learn(&request, request.hint);
@@ -829,20 +857,20 @@
             (server.started, server.permits) = (Some(now), 0);
         }
         server.shut = false;
+        let took = latency.as_secs_f64() * 1e3;
+        let usual = self.usual_setup_ms.0.unwrap_or(took);
+        // A slow server must not pass for usual, but where all are slow that is the usual soon.
+        self.usual_setup_ms.add(took.min(2.0 * usual));
         if !self.set.tells_delay {
-            self.setup_took(now, s, latency, out);
+            self.setup_took(now, s, took - usual, out);
         }
     }
 
     /// Guards against a slow server that draws new work and keeps its clients because nothing tells that its
     /// messages are late: what a set-up takes above the usual is taken for what a message waits there. One
     /// node's set-ups are few, so the others hear of it.
-    fn setup_took(&mut self, now: Micros, s: usize, latency: Micros, out: &mut Vec<Action>) {
-        let (id, took) = (self.servers[s].entry.id, latency.as_secs_f64() * 1e3);
-        let usual = self.usual_setup_ms.0.unwrap_or(took);
-        // A slow server must not pass for usual, but where all are slow that is the usual soon.
-        self.usual_setup_ms.add(took.min(2.0 * usual));
-        let waits = (took - usual).max(0.0);
+    fn setup_took(&mut self, now: Micros, s: usize, above: f64, out: &mut Vec<Action>) {
+        let (id, waits) = (self.servers[s].entry.id, above.max(0.0));
         // Below a whole aim one may be long by its own work: the next there, due now, has to be long too.
         let bar = self.late_at.as_secs_f64() * 1e3;
         let before = self.servers[s].delay.is_some_and(|d| d.span >= self.late_at);
@@ -866,6 +894,11 @@
         self.ended += u32::from(itself && matches!(conn.stage, Stage::Open(_)));
         if let Some(s) = conn.stage.server() {
             self.judge(now, s, &conn, outcome, out);
+            if outcome == Outcome::Timeout && conn.timed {
+                // Guards against a fleet that is slow as a whole, where time-outs would add to its work.
+                let took = (now - conn.sent).as_secs_f64() * 1e3;
+                self.usual_setup_ms.add(self.usual_setup_ms.0.map_or(took, |usual| took.min(2.0 * usual)));
+            }
             if outcome.may_have_run() {
                 conn.ran.get_or_insert((s, conn.sent));
             }
@@ -874,8 +907,9 @@
             return;
         }
         conn.stage = Stage::Held;
-        // The client's time is over, whatever was told of it: no attempt has a time-out of its own.
-        let over = matches!(outcome, Outcome::Timeout | Outcome::Moot) && self.set.deadline_drift > Micros(0);
+        // The client's time is over, whatever was told of it, unless the attempt had a time-out of its own.
+        let late = matches!(outcome, Outcome::Timeout | Outcome::Moot) && !conn.timed;
+        let over = late && self.set.deadline_drift > Micros(0);
         // What the node itself did not send is no load on anyone.
         let saved = self.set.resends.is_none() && outcome != Outcome::Unsent;
         if over || (saved && self.retry_tokens < 1.0) {
@@ -925,6 +959,7 @@
         out.push(Action::SetTimer(PERIOD, TOKEN_PERIOD));
         self.log_left = LOG_LINES;
         self.stood += self.conns.len() as f64 * PERIOD.as_secs_f64();
+        self.usual_taken.add(f64::from(std::mem::take(&mut self.taken)) / PERIOD.as_secs_f64());
         let held = self.held(now);
         self.usual_held.add(held);
         // Guards against a release that leaves but a slow server warm, which holds next to nothing: what
@@ -935,14 +970,14 @@
             let server = &mut self.servers[s];
             server.slowness = (server.slowness - SPEED_GAIN).max(0.0);
             server.limit = server.limit.map(|limit| limit * LIMIT_GAIN);
-            let called_gone = self.called_gone(s) && self.servers[s].conns.is_empty();
-            if (self.set.probes && called_gone) || (self.reports() && self.up(now, s) && self.unseen(now, s))
-            {
-                // It went down or came back in the meantime: its first set-up is tried alone.
-                self.servers[s].fell |= called_gone;
+            if self.reports() && self.up(now, s) && self.unseen(now, s) {
                 out.push(Action::Probe(self.servers[s].entry.id));
             }
         }
+        self.doubt(now);
+        if self.set.probes {
+            self.probe_gone(now, out);
+        }
         let mean = self.mean(now);
         for s in 0..self.servers.len() {
             let drains = self.servers[s].entry.state == ServerState::Draining && self.set.empty_draining;
@@ -1024,9 +1059,12 @@
             .collect();
         let lightest = open.iter().map(|(load, _)| *load).fold(f64::INFINITY, f64::min);
         // A late server may lose its last connection too; and by chance for less than that where each of many
-        // nodes holds one there, or none of them would begin.
+        // nodes holds one there, or none would begin, and where what stays earns nothing: a way that is slow
+        // keeps a steady delay, and half of one connection would ask for no move for as long as that lasts.
         let part = excess.min(REACTIVE_SHARE * lightest);
-        if few && reactive > 0.0 && excess < lightest && part > lightest * self.rng.random::<f64>() {
+        let lost = self.servers[s].delay.is_some_and(|d| d.span.scale(LATE_SHARE) >= self.late_at);
+        if (few || lost) && reactive > 0.0 && excess < lightest && part > lightest * self.rng.random::<f64>()
+        {
             excess = lightest;
         }
         if excess < lightest || (excess == lightest && reactive == 0.0) {
