--- a/crates/alderstile-cluster/src/members/mod.rs
+++ b/crates/alderstile-cluster/src/members/mod.rs
@@ -38,7 +38,7 @@
 /// A helper that has heard nothing says so at this part of a period after it was asked (Lifeguard's nack).
 const NACK: f64 = 0.2;
 /// A rumor is told this many times the logarithm to base 2 of the members' number (SWIM section 4.1).
-const TELLINGS: u32 = 3;
+const RETRANSMISSIONS: u32 = 3;
 /// Independent confirmations after which a suspicion lasts no longer than the least time (Lifeguard's K).
 const CONFIRMATIONS: usize = 3;
 /// How much longer an unconfirmed one lasts (Lifeguard's beta).
@@ -62,13 +62,13 @@
 /// How much less often that is.
 const SELDOM: f64 = 10.0;
 /// A member asks a seed that is missing after so many periods at most, however many members there are.
-const SEEDS_MOST: f64 = 10.0;
+const SEED_RETRY_MAX: f64 = 10.0;
 /// Of all members so many ping a suspect once more before they hold it dead; the others give them time for it.
 const CHECKERS: f64 = 8.0;
 /// That time, in periods.
 const CHECKED: f64 = 2.0;
 /// A member that knows nobody asks a seed ever less often, but after so many periods at most.
-const LONELY_MOST: u64 = 8;
+const MAX_BACKOFF: u64 = 8;
 
 /// How a member goes about it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -120,7 +120,7 @@
     /// Whether this process pings it once more before it holds it dead.
     check: Check,
     /// When this process asked it last whether it is back, while it is held dead.
-    asked_at: Micros,
+    retried_at: Micros,
     taken: Window,
 }
 
@@ -169,9 +169,9 @@
     suspects: BTreeSet<Session>,
     dead: BTreeSet<Session>,
     /// The living by their addresses.
-    places: BTreeMap<SocketAddr, BTreeSet<Session>>,
+    by_address: BTreeMap<SocketAddr, BTreeSet<Session>>,
     /// All processes of each name that are remembered.
-    names: BTreeMap<Box<str>, Vec<Session>>,
+    by_name: BTreeMap<Box<str>, Vec<Session>>,
     claimed: BTreeSet<Box<str>>,
     living: usize,
     /// The order of this round, and where it stands.
@@ -197,10 +197,10 @@
     seeds: Vec<SocketAddr>,
     /// Which of the seeds is the next to be asked, and when one was, while one is missing.
     seed: usize,
-    seed_asked_at: Option<Micros>,
+    seed_retried_at: Option<Micros>,
     /// Periods without anybody, and which part of the time between two seeds passes now.
-    lonely: u64,
-    lonely_part: f64,
+    periods_alone: u64,
+    jitter: f64,
     leaving: bool,
     figures: Figures,
 }
@@ -228,8 +228,8 @@
             others: BTreeMap::new(),
             suspects: BTreeSet::new(),
             dead: BTreeSet::new(),
-            places: BTreeMap::new(),
-            names: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            by_name: BTreeMap::new(),
             claimed: BTreeSet::new(),
             living: 0,
             round: Vec::new(),
@@ -250,9 +250,9 @@
             knows_all: false,
             seeds,
             seed,
-            seed_asked_at: None,
-            lonely: 0,
-            lonely_part: 1.0,
+            seed_retried_at: None,
+            periods_alone: 0,
+            jitter: 1.0,
             leaving: false,
             figures: Figures::default(),
             me,
@@ -607,40 +607,40 @@
 
     /// The time between two asks of one address by this member, where all members together ask it [`ASKED_TOGETHER`] times a
     /// period: where 3,000 asked one address each, the process that had come back there had no answers left for anyone else.
-    fn asks_each(&self) -> f64 {
+    fn retry_interval(&self) -> f64 {
         self.count() as f64 / ASKED_TOGETHER
     }
 
     /// A member asks its seeds for those that it does not know, one after the other; alone ever less often.
     fn ask_seeds(&mut self, out: &mut Vec<Out>) {
         let alone = self.living == 0;
-        self.lonely = if alone { self.lonely + 1 } else { 0 };
-        let held_dead: BTreeSet<SocketAddr> = self.dead_places().into_keys().collect();
-        let missing = |seed: &SocketAddr| !self.places.contains_key(seed) && !held_dead.contains(seed);
+        self.periods_alone = if alone { self.periods_alone + 1 } else { 0 };
+        let held_dead: BTreeSet<SocketAddr> = self.dead_addresses().into_keys().collect();
+        let missing = |seed: &SocketAddr| !self.by_address.contains_key(seed) && !held_dead.contains(seed);
         let Some(place) = (0..self.seeds.len())
             .map(|i| (self.seed + i) % self.seeds.len())
             .find(|&place| missing(&self.seeds[place]))
         else {
-            self.seed_asked_at = None;
+            self.seed_retried_at = None;
             return;
         };
         let each = if alone {
-            (self.lonely / 4).clamp(1, LONELY_MOST) as f64 * self.lonely_part
+            (self.periods_alone / 4).clamp(1, MAX_BACKOFF) as f64 * self.jitter
         } else {
-            self.asks_each().clamp(1.0, SEEDS_MOST)
+            self.retry_interval().clamp(1.0, SEED_RETRY_MAX)
         };
         let each = self.set.period.scale(each);
-        let asked_at = self.seed_asked_at.unwrap_or_else(|| {
+        let retried_at = self.seed_retried_at.unwrap_or_else(|| {
             // Those that miss it from the same moment on must not ask together.
             let part = if alone { 1.0 } else { self.rng.random::<f64>() };
             self.now - each.scale(part)
         });
-        self.seed_asked_at = Some(asked_at);
+        self.seed_retried_at = Some(retried_at);
         // At the start nothing lies so far back.
-        if asked_at + each <= self.now || (alone && self.lonely == 1) {
-            self.seed_asked_at = Some(self.now);
+        if retried_at + each <= self.now || (alone && self.periods_alone == 1) {
+            self.seed_retried_at = Some(self.now);
             self.seed = place + 1;
-            self.lonely_part = 1.0 - self.rng.random::<f64>() / 2.0;
+            self.jitter = 1.0 - self.rng.random::<f64>() / 2.0;
             let (nonce, record) = (self.nonce(), self.me.clone());
             self.send_to(self.seeds[place], Session::default(), &Body::Ping { nonce, record }, out);
         }
@@ -648,37 +648,37 @@
 
     /// The addresses where one lived that is held dead and nobody is known to live now: when it was asked last, and the one
     /// that died there last.
-    fn dead_places(&self) -> BTreeMap<SocketAddr, (Micros, Session)> {
-        let mut places: BTreeMap<SocketAddr, (Micros, Session)> = BTreeMap::new();
+    fn dead_addresses(&self) -> BTreeMap<SocketAddr, (Micros, Session)> {
+        let mut addresses: BTreeMap<SocketAddr, (Micros, Session)> = BTreeMap::new();
         for session in &self.dead {
             let Some(member) = self.others.get(session) else { continue };
             let address = member.record.address;
-            if self.places.contains_key(&address) {
+            if self.by_address.contains_key(&address) {
                 continue;
             }
-            let place = places.entry(address).or_insert((member.asked_at, *session));
-            place.0 = place.0.max(member.asked_at);
-            if self.others.get(&place.1).is_some_and(|last| last.since < member.since) {
-                place.1 = *session;
+            let last = addresses.entry(address).or_insert((member.retried_at, *session));
+            last.0 = last.0.max(member.retried_at);
+            if self.others.get(&last.1).is_some_and(|other| other.since < member.since) {
+                last.1 = *session;
             }
         }
-        places
+        addresses
     }
 
     /// Those held dead may be back: after a split nobody else would ever look for them. Of those whose time has come, the
     /// one that has waited longest is asked, so that with few members left none waits for more than all others.
     fn ask_a_dead_one(&mut self, out: &mut Vec<Out>) {
-        let each = self.asks_each();
-        let due = self.dead_places().into_values().filter_map(|(asked_at, session)| {
+        let each = self.retry_interval();
+        let due = self.dead_addresses().into_values().filter_map(|(retried_at, session)| {
             let since = self.others.get(&session)?.since;
             // Those that have long been away are asked less often.
             let lately = since + self.set.period.scale(LONG_AWAY) > self.now;
             let each = if lately { each } else { each * SELDOM };
-            Some((asked_at + self.set.period.scale(each.max(1.0)), session))
+            Some((retried_at + self.set.period.scale(each.max(1.0)), session))
         });
         let Some((_, target)) = due.min().filter(|(due, _)| *due <= self.now) else { return };
         if let Some(member) = self.others.get_mut(&target) {
-            member.asked_at = self.now;
+            member.retried_at = self.now;
         }
         let nonce = self.nonce();
         self.ping(target, nonce, out);
@@ -707,12 +707,12 @@
         for session in gone {
             if let Some(member) = self.others.remove(&session) {
                 let name = member.record.name;
-                let left = self.names.get_mut(&name).is_some_and(|sessions| {
+                let left = self.by_name.get_mut(&name).is_some_and(|sessions| {
                     sessions.retain(|of| *of != session);
                     sessions.is_empty()
                 });
                 if left {
-                    self.names.remove(&name);
+                    self.by_name.remove(&name);
                 }
             }
             self.dead.remove(&session);
@@ -751,7 +751,7 @@
         let all: Vec<&Rumor> = buddy.iter().chain(self.rumors.at(&order)).collect();
         let (bytes, written) = self.seal.write(header, body, &all);
         let written = written.saturating_sub(usize::from(buddy.is_some()));
-        let limit = TELLINGS * (usize::BITS - self.count().leading_zeros());
+        let limit = RETRANSMISSIONS * (usize::BITS - self.count().leading_zeros());
         self.rumors.told(&order[..written], limit);
         self.sent_in_period += 1;
         self.figures.sent += 1;
@@ -787,13 +787,13 @@
             // Made for an earlier process here, or before the sender had heard of this one: it may be a replay, so that
             // nothing of it counts. The sender is told who is here. A word of who is there is not answered by another one.
             self.figures.stale += 1;
-            if !matches!(body, Body::Hello { .. }) && !self.leaving {
+            if !matches!(body, Body::Handshake { .. }) && !self.leaving {
                 let record = self.me.clone();
-                self.send_to(from, header.from, &Body::Hello { record }, &mut out);
+                self.send_to(from, header.from, &Body::Handshake { record }, &mut out);
             }
             return out;
         }
-        if let Body::Ping { record, .. } | Body::Hello { record } | Body::Sync { record, .. } = &body {
+        if let Body::Ping { record, .. } | Body::Handshake { record } | Body::Sync { record, .. } = &body {
             if record.session != header.from {
                 self.figures.damaged += 1;
                 return out;
@@ -834,7 +834,7 @@
             return;
         }
         // Where another process answered before, that one has ended: two can't have one address.
-        let there = self.places.get(&record.address).into_iter().flatten();
+        let there = self.by_address.get(&record.address).into_iter().flatten();
         let replaced: Vec<(Session, u64)> = there
             .filter(|session| **session != record.session)
             .filter_map(|session| Some((*session, self.others.get(session)?.record.incarnation)))
@@ -875,7 +875,7 @@
                 }
             }
             // Whom it was sent for is not there any more, or this one is new to somebody.
-            Body::Hello { .. } => {
+            Body::Handshake { .. } => {
                 // Nothing tells it so far that it is held dead.
                 if self.others.get(&from).is_some_and(|member| member.state == State::Dead) {
                     let nonce = self.nonce();
@@ -1016,7 +1016,7 @@
         }
         let Some(member) = self.others.get_mut(&session) else {
             self.rumors.add(Rumor::Alive(record.clone()));
-            self.names.entry(record.name.clone()).or_default().push(session);
+            self.by_name.entry(record.name.clone()).or_default().push(session);
             let since = self.now;
             let member = Member {
                 record,
@@ -1024,7 +1024,7 @@
                 since,
                 confirmed: Vec::new(),
                 check: Check::Others,
-                asked_at: Micros(0),
+                retried_at: Micros(0),
                 taken: Window::default(),
             };
             self.others.insert(session, member);
@@ -1104,7 +1104,7 @@
     }
 
     fn dead(&mut self, session: Session, incarnation: u64, out: &mut Vec<Out>) {
-        let each = self.set.period.scale(self.asks_each().max(1.0));
+        let each = self.set.period.scale(self.retry_interval().max(1.0));
         if self.corrects(session, incarnation) {
             return;
         }
@@ -1113,7 +1113,7 @@
         };
         (member.state, member.since) = (State::Dead, self.now);
         // Those that hear of it together must not ask together whether it is back.
-        member.asked_at = self.now - each.scale(self.rng.random::<f64>());
+        member.retried_at = self.now - each.scale(self.rng.random::<f64>());
         member.record.incarnation = incarnation;
         self.gone(session, Rumor::Dead { session, incarnation }, Change::Died(session), out);
     }
@@ -1150,16 +1150,16 @@
     /// A process lives at its address.
     fn enter(&mut self, session: Session) {
         if let Some(member) = self.others.get(&session) {
-            self.places.entry(member.record.address).or_default().insert(session);
+            self.by_address.entry(member.record.address).or_default().insert(session);
         }
     }
 
     /// It lives there no more.
     fn exit(&mut self, session: Session, address: SocketAddr) {
-        if let Some(there) = self.places.get_mut(&address) {
+        if let Some(there) = self.by_address.get_mut(&address) {
             there.remove(&session);
             if there.is_empty() {
-                self.places.remove(&address);
+                self.by_address.remove(&address);
             }
         }
     }
@@ -1168,7 +1168,7 @@
     fn settle(&mut self, session: Session, out: &mut Vec<Out>) {
         let Some(name) = self.others.get(&session).map(|member| member.record.name.clone()) else { return };
         let of_name =
-            self.names.get(&name).into_iter().flatten().filter_map(|session| self.others.get(session));
+            self.by_name.get(&name).into_iter().flatten().filter_map(|session| self.others.get(session));
         let mut addresses: BTreeSet<SocketAddr> =
             of_name.filter(|member| member.state.lives()).map(|member| member.record.address).collect();
         if name == self.me.name {
--- a/crates/alderstile-cluster/src/members/wire.rs
+++ b/crates/alderstile-cluster/src/members/wire.rs
@@ -79,7 +79,7 @@
         nonce: u64,
     },
     /// A datagram came that was meant for another process, or for none: this one is here.
-    Hello {
+    Handshake {
         /// The sender's own.
         record: Record,
     },
@@ -322,7 +322,7 @@
             bytes.push(4);
             put(bytes, *nonce);
         }
-        Body::Hello { record } => {
+        Body::Handshake { record } => {
             bytes.push(5);
             put_record(bytes, record);
         }
@@ -421,7 +421,7 @@
             Body::PingFor { nonce, target: session(input)?, address: address(input)? }
         }
         4 => Body::Nack { nonce: le_u64.parse_next(input)? },
-        5 => Body::Hello { record: record(input)? },
+        5 => Body::Handshake { record: record(input)? },
         6 => Body::Sync { after: session(input)?, record: record(input)? },
         7 => {
             let last = take(1usize).verify(|bytes: &[u8]| bytes[0] <= 1).parse_next(input)?[0] == 1;
--- a/crates/alderstile-cluster/tests/members.rs
+++ b/crates/alderstile-cluster/tests/members.rs
@@ -195,7 +195,7 @@
     let mut one = member(1, &[2, 3]);
     told(&mut one, 1, &Rumor::Dead { session: Session(2_000), incarnation: 1 });
     let header = Header { from: Session(2_000), to: Session(1_000), counter: 1 };
-    let here = seal().write(header, &Body::Hello { record: record(2) }, &[]).0;
+    let here = seal().write(header, &Body::Handshake { record: record(2) }, &[]).0;
     let out = one.received(Micros(0), address(2), &here);
     let [Out::Send(to, bytes)] = &out[..] else { panic!("{out:?}") };
     let rumors = seal().read(bytes).expect("a datagram").rumors;
@@ -464,7 +464,7 @@
             Body::Ack { nonce: 2 },
             Body::PingFor { nonce: 3, target: Session(9), address: record.address },
             Body::Nack { nonce: 4 },
-            Body::Hello { record: record.clone() },
+            Body::Handshake { record: record.clone() },
             Body::Sync { after: Session(8), record: record.clone() },
             Body::Page { last: true, members: vec![(State::Suspect, record.clone())] },
         ] {
