The node's list is under a lease: past it nothing new goes to what may have changed

The node went by its held list for as long as calls failed.

Change: src/lease.rs (pure): whole lines of a watch renew it for 6 s, a call without a connection for 6 s from its beginning; where lists are pushed the grace at drains less 0.1 s once the watch has ended; 4 s after a move. Past it hosts that have not taken a request (UP) that they were asked to take within 6 s are given to the decisions as gone (a draining host takes none), so that BUSY is answered at once and clients stay; `may_go` asks again before a connection is made and at the first byte. The successor is told what is left (`Hello::lease_left`). A connection to discovery may take 1.25 s, not 4. At fault: discovery.rs `run`, which told the decisions `Failed` and nothing else; decisions.rs `may_go`.

Ruled out: BUSY for all hosts (a node would serve nobody in an outage of which 503 is all it sees); taking 503 for "down".

--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -42,6 +42,11 @@
 /// that broke is asked for again at once, as often as need be (half of this is the longest wait). Calls reach the agent alone.
 const PUSHED: Micros = Micros::from_millis(200);
 
+/// How long something new may go to a host after its drain was told, where nothing else is said; and what is kept of that, as
+/// a line has to get there in time.
+const GRACE: Micros = Micros::from_millis(500);
+const GRACE_KEPT: Micros = Micros::from_millis(100);
+
 /// Why there is no configuration.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -107,6 +112,8 @@
     pub connect_timeout: Duration,
     /// How long a planned stop may take.
     pub stop_within: Duration,
+    /// Where lists are pushed: how long something new may still go to a host after its drain was told.
+    pub pushed: Option<Micros>,
     /// What the decisions are told.
     pub settings: Settings,
     /// What a second instance is told that only watches.
@@ -246,7 +253,9 @@
         let shadow =
             new.shadow.clone().map(|shadow| numbered(shadow, self.shadow.as_ref().unwrap_or(&self.settings)));
         let (discovery, stop_within, connect_timeout) = (new.discovery, new.stop_within, new.connect_timeout);
-        Ok((Config { settings, shadow, discovery, stop_within, connect_timeout, told, ..next }, waiting))
+        let pushed = new.pushed;
+        let next = Config { settings, shadow, discovery, stop_within, connect_timeout, pushed, told, ..next };
+        Ok((next, waiting))
     }
 
     /// The configuration of a process that takes over: its own file, unless the one that serves would turn that down. What
@@ -303,7 +312,10 @@
             (0..count).map(|i| set.micros(&format!("classes.{i}.give_up")).or_else(absent(GIVE_UP)));
         let longest = give_ups.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or(GIVE_UP);
         let timeout = set.micros("allowed.connect_timeout").map(|span| Duration::from_micros(span.0));
-        let settings = on_sockets(settings::parse(&set)?);
+        let settings = settings::parse(&set)?;
+        let grace = set.micros("obligations.stop_sending_within").or_else(absent(GRACE))?;
+        let pushed = (!settings.must_ask).then_some(grace - GRACE_KEPT);
+        let settings = on_sockets(settings);
         let shadow = shadow.map(|section| self::shadow(section, &set, settings.classes.len())).transpose()?;
         Ok(Config {
             name: keys.text("name")?.to_owned(),
@@ -326,6 +338,7 @@
             zones: set.list("zones").into_iter().map(str::to_owned).collect(),
             connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
             stop_within: Duration::from_micros(longest.0.min(LONGEST_GIVE_UP.0)) + STOP_AFTER,
+            pushed,
             settings,
             shadow: shadow.flatten(),
             told: Value::Null,
--- a/crates/alderstile-node/src/decisions.rs
+++ b/crates/alderstile-node/src/decisions.rs
@@ -12,10 +12,11 @@
 use alderstile_cluster::subsets::Node as Peer;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::clock::Clock;
 use crate::config::{Config, Current};
+use crate::lease::Lease;
 use crate::list::{Health, Host, List, server_id};
 
 /// How often it is told what the watching instance would have done otherwise.
@@ -46,6 +47,7 @@
     hosts: RefCell<BTreeMap<ServerId, HostAt>>,
     listed: RefCell<BTreeMap<ServerId, Host>>,
     seq: Cell<u64>,
+    lease: RefCell<Lease>,
     /// What the running node sleeps until, and what wakes it earlier.
     due: Cell<Option<Micros>>,
     wake: Notify,
@@ -57,6 +59,7 @@
     pub fn new(config: Rc<Current>) -> Self {
         let (clock, told) = (Clock::default(), config.get());
         let facade = Facade::watched(told.settings.clone(), told.shadow.clone(), told.seed, clock.now());
+        let lease = Lease::new(clock.now(), told.pushed);
         Decisions {
             config,
             clock,
@@ -68,6 +71,7 @@
             hosts: RefCell::default(),
             listed: RefCell::default(),
             seq: Cell::default(),
+            lease: RefCell::new(lease),
             due: Cell::default(),
             wake: Notify::new(),
             ready: Cell::new(false),
@@ -91,6 +95,7 @@
             Settings { weights, ..settings.clone() }
         };
         let (settings, shadow) = (laid_over(&config.settings), config.shadow.as_ref().map(laid_over));
+        self.lease.borrow_mut().renew(config.pushed);
         self.decide(|facade, now| facade.renew(now, settings, shadow));
     }
 
@@ -161,6 +166,67 @@
         self.ready.set(self.ready.get() || !self.hosts.borrow().is_empty());
     }
 
+    /// A whole line of a watch, or a whole list, was taken in: nothing was missed until now.
+    pub fn heard(&self) {
+        let now = self.clock.now();
+        let mut lease = self.lease.borrow_mut();
+        lease.heard(now);
+        let restored = lease.restore(now);
+        drop(lease);
+        if !restored.is_empty() {
+            info!("server list: heard of again, {} hosts are sent new work again", restored.len());
+            let listed = self.listed.borrow();
+            let hosts = restored.iter().filter_map(|id| listed.get(id)).cloned().collect();
+            let entries = List { seq: 0, whole: false, hosts }.entries(&self.config.get().zones);
+            drop(listed);
+            self.list(ListKind::Delta, entries);
+        }
+    }
+
+    /// The watch has ended, or a call has failed that began then. `unreachable` says that it got no connection.
+    pub fn unheard(&self, began: Instant, unreachable: bool) {
+        let mut lease = self.lease.borrow_mut();
+        if unreachable {
+            lease.unreachable(self.clock.at(began.into_std()));
+        }
+        lease.ended(self.clock.now());
+        self.wake.notify_one();
+    }
+
+    /// A server took a request that it was asked to take then.
+    pub fn took(&self, server: ServerId, asked: Instant) {
+        self.lease.borrow_mut().took(server, self.clock.at(asked.into_std()));
+    }
+
+    /// What is left of the lease on the list.
+    pub fn lease_left(&self) -> Micros {
+        self.lease.borrow().left(self.clock.now())
+    }
+
+    /// The process before this one had so much left of it.
+    pub fn inherit_lease(&self, left: Micros) {
+        self.lease.borrow_mut().inherit(self.clock.now(), left);
+        self.wake.notify_one();
+    }
+
+    /// Nothing new goes to servers that may have changed since the list was last heard of; their clients stay.
+    fn withhold(&self) {
+        let now = self.clock.now();
+        let listed = self.listed.borrow();
+        let up = listed.iter().filter(|(_, host)| host.health == Health::Up).map(|(id, _)| *id);
+        let out = self.lease.borrow_mut().withhold(now, up);
+        if out.is_empty() {
+            return;
+        }
+        warn!("server list: nothing heard for too long, {} hosts are sent nothing new", out.len());
+        let gone = |host: &Host| Host { health: Health::Removed, ..host.clone() };
+        let hosts = out.iter().filter_map(|id| listed.get(id)).map(gone).collect();
+        let entries = List { seq: 0, whole: false, hosts }.entries(&self.config.get().zones);
+        drop(listed);
+        // Past what nodes share out among themselves: that one is to go on with what is listed.
+        self.decide(|facade, now| facade.report_list(now, ListKind::Delta, entries));
+    }
+
     fn take_addresses(&self, list: &List) {
         let (mut hosts, mut listed) = (self.hosts.borrow_mut(), self.listed.borrow_mut());
         self.seq.set(list.seq);
@@ -191,8 +257,8 @@
 
     /// Whether an attempt that is out may still be sent where its connection was made.
     pub fn may_go(&self, id: RequestId, server: ServerId, dial: SocketAddr) -> bool {
-        let there = self.host(server).is_some_and(|at| at.dial == dial);
-        there && self.facade.borrow().may_go(self.clock.now(), id)
+        let (there, now) = (self.host(server).is_some_and(|at| at.dial == dial), self.clock.now());
+        there && self.lease.borrow().holds(now, server) && self.facade.borrow().may_go(now, id)
     }
 
     /// The name of a server; its number once it is listed no more.
@@ -208,6 +274,7 @@
     /// From now on the server list is to be had there.
     pub fn move_discovery(&self, to: SocketAddr) {
         self.discovery.set(to);
+        self.lease.borrow_mut().moved(self.clock.now());
         self.discovery_moved.notify_one();
     }
 
@@ -252,8 +319,11 @@
                     None => info!("{line}"),
                 }
             }
-            self.due.set(self.decide(|facade, _| facade.next_due()));
-            let due = self.due.get().map(|due| self.clock.moment(due).into());
+            self.withhold();
+            let leased = self.lease.borrow().due(self.clock.now());
+            let due = self.decide(|facade, _| facade.next_due()).into_iter().chain(leased).min();
+            self.due.set(due);
+            let due = due.map(|due| self.clock.moment(due).into());
             tokio::select! {
                 () = sleep_until(due) => {}
                 // A report may bring something forward.
--- a/crates/alderstile-node/src/discovery.rs
+++ b/crates/alderstile-node/src/discovery.rs
@@ -19,6 +19,10 @@
 
 /// How long a call may take: until a watch begins, or a whole list has come.
 const ANSWER: Duration = Duration::from_secs(4);
+/// How long its connection may take: it is knocked for again after a second. One that never comes up says that discovery
+/// can't be reached, and has to say so before the lease on the list has run out: the longest wait between two calls and
+/// this twice are under 6 s.
+const CONNECT: Duration = Duration::from_millis(1_250);
 /// An empty line comes every 2 s: after this long without a whole one the watch is dead, whatever TCP says. What it misses
 /// counts as told 6 s after it fell silent, which may be right after its last line. With the wait before the next call
 /// (0.75 s at most after a first failure, spread over the nodes) a call may take 2.25 s to be in time. Shorter, and one line
@@ -34,8 +38,10 @@
     NoAnswer,
     #[error("silent for {} s", SILENCE.as_secs())]
     Silent,
-    #[error("connection: {0}")]
-    Connect(#[from] std::io::Error),
+    #[error("no connection: {0}")]
+    Unreachable(std::io::Error),
+    #[error("no socket: {0}")]
+    NoSocket(std::io::Error),
     #[error("HTTP: {0}")]
     Http(#[from] hyper::Error),
     #[error("answered {0}")]
@@ -58,14 +64,16 @@
             () = decisions.ask_list.notified() => {}
             () = decisions.discovery_moved.notified() => seq = None,
         }
-        let ended = loop {
+        let (ended, began) = loop {
+            let began = Instant::now();
             tokio::select! {
                 // Where it has moved in the same moment, nothing is asked with the other one's version.
                 biased;
                 () = decisions.discovery_moved.notified() => seq = None,
-                ended = watch(&decisions, &mut seq) => break ended.err().unwrap_or(WatchError::Ended),
+                ended = watch(&decisions, &mut seq) => break (ended.err().unwrap_or(WatchError::Ended), began),
             }
         };
+        decisions.unheard(began, matches!(ended, WatchError::Unreachable(_)));
         // What was asked for while the watch stood: nodes that lose theirs together must not ask again at once.
         tokio::select! {
             biased;
@@ -98,6 +106,7 @@
             let body = body.map_err(|_| WatchError::NoAnswer)?.map_err(|_| WatchError::Overlong)?.to_bytes();
             let list: List = serde_json::from_slice(&body)?;
             take_in(decisions, &list);
+            decisions.heard();
             *seq.insert(list.seq)
         }
     };
@@ -106,15 +115,31 @@
     follow(decisions, seq.insert(held), answer).await
 }
 
+/// Whether it is the other side that is not there, or this side that has no socket to reach it by.
+fn no_connection(error: std::io::Error) -> WatchError {
+    use std::io::ErrorKind::{
+        ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut,
+    };
+    match error.kind() {
+        ConnectionRefused | ConnectionReset | HostUnreachable | NetworkUnreachable | TimedOut => {
+            WatchError::Unreachable(error)
+        }
+        _ => WatchError::NoSocket(error),
+    }
+}
+
 /// Asks discovery; the call has its own connection, which ends with the guard.
 async fn call(
     decisions: &Decisions,
     path: &str,
     deadline: Instant,
 ) -> Result<(Response<Incoming>, Abort), WatchError> {
-    let stream = timeout_at(deadline, TcpStream::connect(decisions.discovery())).await;
-    let stream = stream.map_err(|_| WatchError::NoAnswer)??;
-    stream.set_nodelay(true)?;
+    let connect_until = deadline.min(Instant::now() + CONNECT);
+    let stream = timeout_at(connect_until, TcpStream::connect(decisions.discovery())).await;
+    let stream =
+        stream.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())).map_err(no_connection)?;
+    // One that can't be set so is broken and will say so.
+    stream.set_nodelay(true).unwrap_or_default();
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move { connection.await.unwrap_or_default() });
     let abort = Abort(task.abort_handle());
@@ -160,6 +185,7 @@
                 // Nothing has changed since the version held: the call has succeeded all the same.
                 decisions.list(ListKind::Delta, Vec::new());
             }
+            decisions.heard();
             (first, heard) = (false, Instant::now());
         }
     }
--- a/crates/alderstile-node/src/hello.rs
+++ b/crates/alderstile-node/src/hello.rs
@@ -32,6 +32,9 @@
     /// last event in microseconds, requests, attempts. Nothing where that is not known: a process of an older version.
     #[serde(default)]
     pub spent: Option<Vec<(u64, u64, u32, u32)>>,
+    /// What is left of the lease on the list, in microseconds. Nothing where that is not known.
+    #[serde(default)]
+    pub lease_left: Option<u64>,
     /// This node as a member of its cluster, where it is one.
     #[serde(default)]
     pub member: Option<MemberWord>,
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod discovery;
 pub mod hello;
 pub mod kept;
+pub mod lease;
 pub mod link;
 pub mod list;
 pub mod listener;
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -75,6 +75,7 @@
             config: self.config().told.clone(),
             discovery: Some(self.decisions.discovery()),
             list: self.decisions.whole_list(),
+            lease_left: Some(self.decisions.lease_left().0),
             hosts: self.operators.hosts().into_iter().collect(),
             ids: self.clients.known_ids(),
             held: self.clients.held(),
@@ -104,6 +105,7 @@
         let late = Micros(WORD.as_micros() as u64);
         self.decisions.decide(|facade, now| facade.inherit(now, spent, late));
         hello.ids.iter().for_each(|id| self.clients.know_id(id.as_bytes()));
+        hello.lease_left.iter().for_each(|left| self.decisions.inherit_lease(Micros(*left)));
         self.decisions.ask_list.notify_one();
     }
 }
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -250,6 +250,7 @@
                 let latency = began.elapsed();
                 self.up_ms = latency.as_millis();
                 self.node.decisions.decide(|facade, now| facade.report_up(now, id, micros(latency)));
+                self.node.decisions.took(server, began);
                 let Some(descriptor) = descriptor.take() else { return Placed::ClientGone };
                 return Placed::Up(Up { id, server, name, host, _descriptor: descriptor });
             }
@@ -333,6 +334,10 @@
         may_go: impl Fn() -> bool,
         sent: &mut bool,
     ) -> Result<Tried, CutShort> {
+        if !may_go() {
+            // No connection is made for what would not be sent on it.
+            return Ok(Tried::Failed(Outcome::Unsent));
+        }
         let connect_until = until.min(Instant::now() + self.node.config().connect_timeout);
         let connected = timeout_at(connect_until, TcpStream::connect(at.dial));
         let Ok(Ok(stream)) = self.while_wanted(client, connected).await? else {
