--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -92,7 +92,7 @@
     pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// Descriptors that the node may hold.
+    /// Descriptors that the node may hold: as the file says, and no more than the system allows.
     pub sockets: usize,
     /// Where messages of other nodes arrive.
     pub peer_listen: Option<SocketAddr>,
@@ -328,7 +328,10 @@
                     .map_err(|_| keys.bad("seed", text, "at most 16 hexadecimal digits"))?,
                 Err(_) => std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0),
             },
-            sockets: keys.read("limits.sockets", "a whole number").or_else(absent(SOCKETS))?,
+            sockets: keys
+                .read("limits.sockets", "a whole number")
+                .or_else(absent(SOCKETS))?
+                .min(system_sockets()),
             peer_listen: keys.read("peer_listen", address).map(Some).or_else(absent(None))?,
             peers: peers.collect::<Result<_, _>>()?,
             peers_all: keys.read("peers_all", address).map(Some).or_else(absent(None))?,
@@ -346,6 +349,12 @@
     }
 }
 
+/// Descriptors that the system lets this process hold: with a limit above that the node's own would not be kept for it.
+fn system_sockets() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
+
 /// The first key of the old values that the new ones lack. Classes are held against those of the same name, and may
 /// vanish; other lists are values.
 fn lacking(old: &Value, new: &Value) -> Option<String> {
--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -106,10 +106,15 @@
 
 async fn accept(node: &Rc<Node>, listener: &TcpListener) {
     loop {
-        // Where no descriptor is left even for a refusal, clients wait in the backlog.
+        // Where no descriptor is left even for a refusal, clients wait in the backlog until a guest has gone.
         let Some(descriptor) = node.clients.descriptor(0) else {
-            node.clients.lobby.show_out_oldest();
-            tokio::time::sleep(PAUSE).await;
+            if node.clients.lobby.show_out_oldest() {
+                // Its session hears of that, looks once more for its line, and ends.
+                tokio::task::yield_now().await;
+                tokio::task::yield_now().await;
+            } else {
+                tokio::time::sleep(PAUSE).await;
+            }
             continue;
         };
         if !node.clients.lobby.has_place() {
@@ -124,6 +129,7 @@
             }
             Err(error) => {
                 warn!("accept: {error}");
+                node.clients.lobby.show_out_oldest();
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/alderstile-node/src/lobby.rs
+++ b/crates/alderstile-node/src/lobby.rs
@@ -30,6 +30,11 @@
         Rc::new(Lobby { places, next: Cell::default(), guests: RefCell::default() })
     }
 
+    /// How many there are.
+    pub fn places(&self) -> usize {
+        self.places
+    }
+
     /// Whether there is a place for one more; the oldest guest is shown out for that once it has had its time.
     pub fn has_place(&self) -> bool {
         if self.guests.borrow().len() < self.places {
@@ -39,13 +44,15 @@
         self.guests.borrow().len() < self.places
     }
 
-    /// Shows the oldest guest out, if it has had its time.
-    pub fn show_out_oldest(&self) {
+    /// Shows the oldest guest out, if it has had its time; false if nobody has.
+    pub fn show_out_oldest(&self) -> bool {
         let mut guests = self.guests.borrow_mut();
-        if let Some(oldest) = guests.first_entry()
-            && oldest.get().0.elapsed() >= WELCOME
-        {
-            oldest.remove().1.notify_one();
+        match guests.first_entry() {
+            Some(oldest) if oldest.get().0.elapsed() >= WELCOME => {
+                oldest.remove().1.notify_one();
+                true
+            }
+            _ => false,
         }
     }
 
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -23,7 +23,7 @@
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
 use crate::relay::{self, Carried, Ending};
-use crate::side::{Pulled, Side};
+use crate::side::{self, Pulled, Side};
 
 /// A client that has sent no whole first line after this long is none: it is owed a word or a close within 3 s.
 const FIRST_LINE: Duration = Duration::from_secs(2);
@@ -211,8 +211,9 @@
 
     /// Places a request where the decisions say, until it is up or answered.
     async fn place(&mut self, client: &mut Side, deadline: Instant) -> Placed {
-        // The host's connection needs a descriptor too.
-        let Some(descriptor) = self.node.clients.descriptor(1) else {
+        // The host's connection needs a descriptor too. Guards against clients that take all there are and stay: what is left
+        // for those who come would be one, and a crowd that says nothing would have that by turns.
+        let Some(descriptor) = self.node.clients.descriptor(self.node.clients.lobby.places()) else {
             return Placed::Answered(Reason::NodeFull, b"BUSY\r\n".to_vec());
         };
         let mut descriptor = Some(descriptor);
@@ -340,8 +341,11 @@
         }
         let connect_until = until.min(Instant::now() + self.node.config().connect_timeout);
         let connected = timeout_at(connect_until, TcpStream::connect(at.dial));
-        let Ok(Ok(stream)) = self.while_wanted(client, connected).await? else {
-            return Ok(Tried::Failed(Outcome::ConnectFailed));
+        let stream = match self.while_wanted(client, connected).await? {
+            Ok(Ok(stream)) => stream,
+            // Nothing was sent, and it says nothing of the host.
+            Ok(Err(error)) if side::is_own_want(&error) => return Ok(Tried::Failed(Outcome::Unsent)),
+            _ => return Ok(Tried::Failed(Outcome::ConnectFailed)),
         };
         let mut host = Side::new(stream);
         let mut line = Vec::new();
--- a/crates/alderstile-node/src/side.rs
+++ b/crates/alderstile-node/src/side.rs
@@ -30,6 +30,13 @@
     pub buffer: LineBuffer,
 }
 
+/// Whether a connection could not be made for want of something on this machine: descriptors, memory, local ports.
+pub fn is_own_want(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let wants = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    Errno::from_io_error(error).is_some_and(|error| wants.contains(&error))
+}
+
 /// What reading brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pulled {
--- a/crates/alderstile-node/tests/crossings.rs
+++ b/crates/alderstile-node/tests/crossings.rs
@@ -266,6 +266,84 @@
     });
 }
 
+/// An attempt that begins more than 0.1 s after its client left is a break. This long after, none may; the rest is for slow
+/// machines.
+const LEFT: Duration = Duration::from_millis(70);
+
+#[test]
+fn no_attempt_begins_a_moment_after_its_client_left() {
+    run(async {
+        for (id, how) in (1..).zip(LEAVES) {
+            let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+            let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
+            let client = setup.open(id, "d=20000").await;
+            let (server, other) = attempt_at(&hosts).await;
+            let _kept = leave(client, how).await;
+            sleep(LEFT).await;
+            server.0.get_ref().try_write(b"BUSY\r\n").unwrap_or_default();
+            assert!(timeout(MOMENT, hosts[other].accept()).await.is_err(), "{how:?}");
+        }
+    });
+}
+
+#[test]
+fn no_attempt_begins_a_moment_after_a_client_said_far_too_much_and_left() {
+    // Behind so much no end can be seen: how much there is has to be looked at often enough.
+    run(async {
+        for id in 1..6 {
+            let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+            let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
+            let mut client = setup.open(id, "d=20000").await;
+            let (server, other) = attempt_at(&hosts).await;
+            // The node holds no more than some of this, and has looked at how much there is.
+            client.send(&"M 1\r\n".repeat(2_000)).await;
+            sleep(Duration::from_millis(10)).await;
+            // As much as both systems take: its end lies behind that.
+            while client.0.get_ref().try_write(much().as_bytes()).is_ok() {}
+            drop(client);
+            sleep(LEFT).await;
+            server.0.get_ref().try_write(b"BUSY\r\n").unwrap_or_default();
+            assert!(timeout(MOMENT, hosts[other].accept()).await.is_err(), "asked all the same");
+        }
+    });
+}
+
+#[test]
+fn no_attempt_begins_for_a_client_that_left_while_the_node_itself_was_held_up() {
+    // Its core was taken from it: the client's end and the host's refusal have both lain there for long.
+    run(async {
+        for round in 0..4 {
+            for (id, how) in (1..).zip(LEAVES) {
+                let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+                let (setup, _watch) = serving(&[&hosts[0], &hosts[1]]).await;
+                let client = setup.open(id, "d=20000").await;
+                let (server, other) = attempt_at(&hosts).await;
+                let stream = client.0.get_ref();
+                let mut kept = None;
+                if matches!(how, Leaves::SaysMuch | Leaves::SaysMuchAndResets) {
+                    stream.try_write(much().as_bytes()).expect("the system takes it");
+                }
+                match how {
+                    Leaves::Ends | Leaves::SaysMuch => drop(client),
+                    Leaves::Resets | Leaves::SaysMuchAndResets => client.reset(),
+                    Leaves::Half => {
+                        rustix::net::shutdown(stream, rustix::net::Shutdown::Write).expect("ended");
+                        kept = Some(client);
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(110));
+                server.0.get_ref().try_write(b"BUSY\r\n").expect("sent");
+                if round % 2 == 0 {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                let asked = timeout(Duration::from_millis(30), hosts[other].accept()).await;
+                assert!(asked.is_err(), "{how:?}");
+                drop(kept);
+            }
+        }
+    });
+}
+
 #[test]
 fn nothing_goes_to_a_host_for_a_client_that_left_before_it_was_taken_in() {
     run(async {
--- a/crates/alderstile-node/tests/support/mod.rs
+++ b/crates/alderstile-node/tests/support/mod.rs
@@ -264,3 +264,18 @@
         (client, server)
     }
 }
+
+/// Asks a process as the front does until its answer is yes; returns how long that took.
+pub async fn until_pong(address: SocketAddr) -> Duration {
+    let began = tokio::time::Instant::now();
+    loop {
+        if let Ok(front) = TcpStream::connect(address).await {
+            let mut front = Peer(BufReader::new(front));
+            let asked = front.0.get_mut().write_all(b"PING\r\n").await;
+            if asked.is_ok() && front.line().await.as_deref() == Some("PONG") {
+                return began.elapsed();
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
