Names: handshake, backlog, handover, the path to the peers

Need: names follow the standard terms of the field. A mechanical rename: `hello` is `handshake`, the lobby and its guests are the `backlog` and its pending connections, which are evicted, `pass` and `Passed` are `handover` and `Handover`, `Ending::Pass` is `Ending::HandOver`, the private datagram's `Parcel` is a `Message`, `Way` is `PeerPath`; the listener's constant for the system's queue is `ACCEPT_QUEUE`. The words on the private stream between two processes (`hello`, the `.pass` socket), log codes and settings keep theirs: another version reads them (tests/upgrade.rs sends them as text). No behaviour is changed; alderstile-node's tests (all files) pass as before.

--- a/crates/alderstile-node/src/lobby.rs
+++ b/crates/alderstile-node/src/backlog.rs
@@ -11,23 +11,23 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// One descriptor of this many may be held by guests: clients take theirs twice, once more for the host.
+/// One descriptor of this many may be held by pending connections: clients take theirs twice, once more for the host.
 const SHARE: usize = 8;
-/// A guest has this long at least: a usual client's line comes with its connection or right after it.
+/// A pending connection has this long at least: a usual client's line comes with its connection or right after it.
 pub const WELCOME: Duration = Duration::from_millis(20);
 
-/// The places for guests.
-pub struct Lobby {
+/// The places for pending connections.
+pub struct Backlog {
     places: usize,
     next: Cell<u64>,
-    guests: RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>,
+    pending: RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>,
 }
 
-impl Lobby {
+impl Backlog {
     /// Places by the descriptors that the node may hold.
     pub fn new(descriptors: usize) -> Rc<Self> {
         let places = (descriptors / SHARE).max(1);
-        Rc::new(Lobby { places, next: Cell::default(), guests: RefCell::default() })
+        Rc::new(Backlog { places, next: Cell::default(), pending: RefCell::default() })
     }
 
     /// How many there are.
@@ -35,19 +35,19 @@
         self.places
     }
 
-    /// Whether there is a place for one more; the oldest guest is shown out for that once it has had its time.
+    /// Whether there is a place for one more; the oldest is evicted for that once it has had its time.
     pub fn has_place(&self) -> bool {
-        if self.guests.borrow().len() < self.places {
+        if self.pending.borrow().len() < self.places {
             return true;
         }
-        self.show_out_oldest();
-        self.guests.borrow().len() < self.places
+        self.evict_oldest();
+        self.pending.borrow().len() < self.places
     }
 
-    /// Shows the oldest guest out, if it has had its time; false if nobody has.
-    pub fn show_out_oldest(&self) -> bool {
-        let mut guests = self.guests.borrow_mut();
-        match guests.first_entry() {
+    /// Evicts the oldest, if it has had its time; false if none has.
+    pub fn evict_oldest(&self) -> bool {
+        let mut pending = self.pending.borrow_mut();
+        match pending.first_entry() {
             Some(oldest) if oldest.get().0.elapsed() >= WELCOME => {
                 oldest.remove().1.notify_one();
                 true
@@ -56,31 +56,31 @@
         }
     }
 
-    /// Takes a guest in.
-    pub fn enter(self: &Rc<Self>) -> Guest {
+    /// Takes a connection in.
+    pub fn enter(self: &Rc<Self>) -> Pending {
         let number = self.next.replace(self.next.get() + 1);
         let out = Rc::new(Notify::new());
-        self.guests.borrow_mut().insert(number, (Instant::now(), out.clone()));
-        Guest { lobby: self.clone(), number, out }
+        self.pending.borrow_mut().insert(number, (Instant::now(), out.clone()));
+        Pending { backlog: self.clone(), number, out }
     }
 }
 
 /// A place, held while this lives.
-pub struct Guest {
-    lobby: Rc<Lobby>,
+pub struct Pending {
+    backlog: Rc<Backlog>,
     number: u64,
     out: Rc<Notify>,
 }
 
-impl Guest {
+impl Pending {
     /// Waits until the place is wanted for another.
-    pub async fn shown_out(&self) {
+    pub async fn evicted(&self) {
         self.out.notified().await;
     }
 }
 
-impl Drop for Guest {
+impl Drop for Pending {
     fn drop(&mut self) {
-        self.lobby.guests.borrow_mut().remove(&self.number);
+        self.backlog.pending.borrow_mut().remove(&self.number);
     }
 }
--- a/crates/alderstile-node/src/clients.rs
+++ b/crates/alderstile-node/src/clients.rs
@@ -8,9 +8,9 @@
 use tokio::net::UnixDatagram;
 use tokio::sync::Notify;
 
+use crate::backlog::Backlog;
 use crate::config::Current;
 use crate::counters::{Counters, Gauges};
-use crate::lobby::Lobby;
 use crate::process::Process;
 use crate::reason::Reason;
 
@@ -87,11 +87,11 @@
     config: Rc<Current>,
     process: Rc<Process>,
     /// Connections that hold no request.
-    pub lobby: Rc<Lobby>,
+    pub backlog: Rc<Backlog>,
     ids: Rc<RefCell<Ids>>,
     movers: RefCell<BTreeMap<RequestId, Rc<Mover>>>,
     all_moved: Cell<Option<Reason>>,
-    passing: RefCell<Option<Rc<UnixDatagram>>>,
+    handover: RefCell<Option<Rc<UnixDatagram>>>,
     descriptors: Rc<Cell<usize>>,
     inflight: Rc<Cell<usize>>,
     counters: RefCell<Counters>,
@@ -104,13 +104,13 @@
         let mut counters = Counters::default();
         counters.classes(&told.classes);
         Clients {
-            lobby: Lobby::new(told.sockets.saturating_sub(told.own_descriptors())),
+            backlog: Backlog::new(told.sockets.saturating_sub(told.own_descriptors())),
             config,
             process,
             ids: Rc::default(),
             movers: RefCell::default(),
             all_moved: Cell::default(),
-            passing: RefCell::default(),
+            handover: RefCell::default(),
             descriptors: Rc::default(),
             inflight: Rc::default(),
             counters: RefCell::new(counters),
@@ -172,15 +172,15 @@
     }
 
     /// Passes all connections on, and from now on each that comes up.
-    pub fn pass_all(&self, to: UnixDatagram) {
-        self.passing.replace(Some(Rc::new(to)));
+    pub fn hand_over_all(&self, to: UnixDatagram) {
+        self.handover.replace(Some(Rc::new(to)));
         self.all_moved.set(Some(Reason::HandedOver));
         self.leave_some(usize::MAX, Reason::HandedOver);
     }
 
     /// The way to the process that goes on with connections.
-    pub fn passing(&self) -> Option<Rc<UnixDatagram>> {
-        self.passing.borrow().clone()
+    pub fn handover(&self) -> Option<Rc<UnixDatagram>> {
+        self.handover.borrow().clone()
     }
 
     /// A client is served from now on and can be moved.
--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 use tracing::warn;
 
-use crate::hello::Hello;
+use crate::handshake::Handshake;
 use crate::list::List;
 
 mod cluster;
@@ -261,11 +261,11 @@
     /// The configuration of a process that takes over: its own file, unless the one that serves would turn that down. What
     /// that one has learned counts.
     pub fn taking_over(
-        hello: &Hello,
+        handshake: &Handshake,
         path: Option<&Path>,
         env: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
-        let force = Self::of_file(hello.config.clone(), &env)?;
+        let force = Self::of_file(handshake.config.clone(), &env)?;
         let file = Self::read(path, &env).and_then(|file| {
             force.renewed(file.clone())?;
             Self::of_file(file, &env)
@@ -279,9 +279,9 @@
         // The file's word counts where it is new; otherwise the one that serves knows better than a start's environment.
         config.discovery = match (place(&force.told), place(&config.told)) {
             (old, Some(new)) if old != Some(new) => new,
-            _ => hello.discovery.unwrap_or(config.discovery),
+            _ => handshake.discovery.unwrap_or(config.discovery),
         };
-        config.known = hello.list.clone();
+        config.known = handshake.list.clone();
         Ok(config)
     }
 
--- a/crates/alderstile-node/src/pass.rs
+++ b/crates/alderstile-node/src/handover.rs
@@ -33,7 +33,7 @@
 
 /// A connection that is passed on.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Passed {
+pub struct Handover {
     /// The client's first line, without its end.
     pub line: String,
     /// The host's name.
@@ -80,26 +80,26 @@
 /// What one datagram holds beside its descriptors.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Parcel {
+enum Message {
     /// A client's socket and its host's.
-    Connection(Passed),
+    Connection(Handover),
     /// The socket on which clients are taken in.
     Door,
 }
 
 /// Passes a connection on; the other process has it once this returns.
-pub async fn send(to: &UnixDatagram, passed: Passed, sockets: [&impl AsFd; 2]) -> io::Result<()> {
-    send_parcel(to, &Parcel::Connection(passed), &sockets.map(AsFd::as_fd)).await
+pub async fn send(to: &UnixDatagram, passed: Handover, sockets: [&impl AsFd; 2]) -> io::Result<()> {
+    send_message(to, &Message::Connection(passed), &sockets.map(AsFd::as_fd)).await
 }
 
 /// Shares the socket on which clients are taken in: both processes take from its one queue, so that none is lost when
 /// this one ends.
 pub async fn share_door(to: &UnixDatagram, door: &impl AsFd) -> io::Result<()> {
-    send_parcel(to, &Parcel::Door, &[door.as_fd()]).await
+    send_message(to, &Message::Door, &[door.as_fd()]).await
 }
 
-async fn send_parcel(to: &UnixDatagram, parcel: &Parcel, fds: &[BorrowedFd<'_>]) -> io::Result<()> {
-    let data = serde_json::to_vec(parcel)?;
+async fn send_message(to: &UnixDatagram, message: &Message, fds: &[BorrowedFd<'_>]) -> io::Result<()> {
+    let data = serde_json::to_vec(message)?;
     let sent = to.async_io(Interest::WRITABLE, || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut control = SendAncillaryBuffer::new(&mut space);
@@ -114,7 +114,7 @@
 
 /// Takes connections in until the process before has ended. Nobody is to find the way after that: this process would
 /// pass connections on to itself. `go_on` is given each connection and its two sockets.
-pub async fn receive(node: Rc<Node>, from: UnixDatagram, go_on: impl Fn(Passed, Vec<TcpStream>)) {
+pub async fn receive(node: Rc<Node>, from: UnixDatagram, go_on: impl Fn(Handover, Vec<TcpStream>)) {
     let ended = async {
         node.process.alone.notified().await;
         // What it sent last may not be read yet.
@@ -131,7 +131,7 @@
     }
 }
 
-async fn take_in(node: &Node, from: &UnixDatagram, go_on: impl Fn(Passed, Vec<TcpStream>)) {
+async fn take_in(node: &Node, from: &UnixDatagram, go_on: impl Fn(Handover, Vec<TcpStream>)) {
     let mut data = vec![0; MAX_DATAGRAM];
     let mut taken: u64 = 0;
     loop {
@@ -150,14 +150,14 @@
         });
         match received.await {
             Ok((length, sockets)) => match (serde_json::from_slice(&data[..length]), sockets.len()) {
-                (Ok(Parcel::Connection(passed)), 2) => {
+                (Ok(Message::Connection(passed)), 2) => {
                     taken += 1;
                     if taken == 1 {
                         info!("connections are passed on to this process");
                     }
                     go_on(passed, sockets.into_iter().map(TcpStream::from).collect());
                 }
-                (Ok(Parcel::Door), 1) => {
+                (Ok(Message::Door), 1) => {
                     node.process.shared_door(sockets.into_iter().map(TcpListener::from).next())
                 }
                 (Ok(_), number) => warn!("passed on with {number} sockets"),
--- a/crates/alderstile-node/src/hello.rs
+++ b/crates/alderstile-node/src/handshake.rs
@@ -11,7 +11,7 @@
 
 /// What the predecessor tells first.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Hello {
+pub struct Handshake {
     /// The form of all lines.
     pub version: u32,
     /// The node's name.
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! decides where a client goes: that is the library's.
 
 pub mod admin;
+pub mod backlog;
 pub mod buffer;
 pub mod choices;
 pub mod client;
@@ -14,16 +15,15 @@
 pub mod counters;
 pub mod decisions;
 pub mod discovery;
-pub mod hello;
+pub mod handover;
+pub mod handshake;
 pub mod kept;
 pub mod lease;
 pub mod link;
 pub mod list;
 pub mod listener;
-pub mod lobby;
 pub mod node;
 pub mod operators;
-pub mod pass;
 pub mod peers;
 pub mod process;
 pub mod protocol;
--- a/crates/alderstile-node/src/link.rs
+++ b/crates/alderstile-node/src/link.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use tracing::warn;
 
-use crate::hello::Hello;
+use crate::handshake::Handshake;
 use crate::kept::Stand;
 
 /// A process that says nothing for this long where a word is owed is taken to have none.
@@ -26,7 +26,8 @@
         version: u32,
     },
     /// The predecessor's first.
-    Hello(Box<Hello>),
+    #[serde(rename = "hello")]
+    Handshake(Box<Handshake>),
     /// The predecessor's first to a third process.
     Taken,
     /// Descriptors that the sender holds.
--- a/crates/alderstile-node/src/listener.rs
+++ b/crates/alderstile-node/src/listener.rs
@@ -16,7 +16,7 @@
 use crate::session;
 
 /// Connections that the system may hold for us: a mass reconnect comes within a moment.
-const BACKLOG: u32 = 4096;
+const ACCEPT_QUEUE: u32 = 4096;
 /// Accepting pauses this long after an error or at the limit: neither goes away by asking at once.
 const PAUSE: Duration = Duration::from_millis(20);
 /// How long a listener that is closed may wait for room: its clients wait as long.
@@ -40,7 +40,7 @@
         socket.set_reuseport(true)?;
     }
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(ACCEPT_QUEUE)
 }
 
 /// Accepts until the node's door is closed, or it is dropped.
@@ -76,7 +76,7 @@
         let taken = match node.clients.descriptor(0) {
             Some(descriptor) => listener.accept().map(|(stream, _)| (stream, descriptor)),
             None => {
-                node.clients.lobby.show_out_oldest();
+                node.clients.backlog.evict_oldest();
                 tokio::time::sleep(PAUSE).await;
                 continue;
             }
@@ -97,18 +97,18 @@
 }
 
 fn serve(node: &Rc<Node>, stream: TcpStream, descriptor: Counted) {
-    let (node, guest) = (node.clone(), node.clients.lobby.enter());
+    let (node, pending) = (node.clone(), node.clients.backlog.enter());
     spawn_local(async move {
-        session::run(node, stream, guest).await;
+        session::run(node, stream, pending).await;
         drop(descriptor);
     });
 }
 
 async fn accept(node: &Rc<Node>, listener: &TcpListener) {
     loop {
-        // Where no descriptor is left even for a refusal, clients wait in the backlog until a guest has gone.
+        // Where no descriptor is left even for a refusal, clients wait in the system's queue until a pending one has gone.
         let Some(descriptor) = node.clients.descriptor(0) else {
-            if node.clients.lobby.show_out_oldest() {
+            if node.clients.backlog.evict_oldest() {
                 // Its session hears of that, looks once more for its line, and ends.
                 tokio::task::yield_now().await;
                 tokio::task::yield_now().await;
@@ -117,7 +117,7 @@
             }
             continue;
         };
-        if !node.clients.lobby.has_place() {
+        if !node.clients.backlog.has_place() {
             tokio::time::sleep(PAUSE).await;
             continue;
         }
@@ -129,7 +129,7 @@
             }
             Err(error) => {
                 warn!("accept: {error}");
-                node.clients.lobby.show_out_oldest();
+                node.clients.backlog.evict_oldest();
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -10,8 +10,8 @@
 use alderstile_node::cluster::Cluster;
 use alderstile_node::config::{ClusterConfig, Config};
 use alderstile_node::node::Node;
-use alderstile_node::peers::{Peers, Way};
-use alderstile_node::{admin, client, discovery, listener, pass, reload, session, shutdown, upgrade};
+use alderstile_node::peers::{PeerPath, Peers};
+use alderstile_node::{admin, client, discovery, handover, listener, reload, session, shutdown, upgrade};
 use clap::{Parser, Subcommand, ValueEnum};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -149,12 +149,12 @@
     while !node.decisions.can_serve() {
         sleep(CAN_SERVE).await;
     }
-    match pass::receiver(&node.config()) {
+    match handover::receiver(&node.config()) {
         Ok(from) => from.into_iter().for_each(|from| {
             let going = node.clone();
             let go_on =
                 move |passed, sockets| drop(spawn_local(session::resume(going.clone(), passed, sockets)));
-            spawn_local(pass::receive(node.clone(), from, go_on));
+            spawn_local(handover::receive(node.clone(), from, go_on));
         }),
         Err(error) => warn!("connections can't be passed on to this process: {error}"),
     }
@@ -198,13 +198,13 @@
         };
         let config = match &predecessor {
             Some(before) => {
-                Config::taking_over(&before.hello, path, env).map_err(|error| error.to_string())?
+                Config::taking_over(&before.handshake, path, env).map_err(|error| error.to_string())?
             }
             None => load(path)?,
         };
         let node = Rc::new(Node::new(config));
         if let Some(cluster) = &cluster {
-            let before = predecessor.as_ref().and_then(|before| before.hello.member.as_ref());
+            let before = predecessor.as_ref().and_then(|before| before.handshake.member.as_ref());
             let member = Rc::new(
                 Cluster::new(&node.config(), cluster, before).map_err(|what| format!("cluster: {what}"))?,
             );
@@ -233,21 +233,21 @@
                 listener::bind(address).map_err(|error| format!("admin_addr {address}: {error}"))?;
             spawn_local(admin::run(node.operators.clone(), listener));
         }
-        let way = Rc::new(Way::default());
+        let path_to_peers = Rc::new(PeerPath::default());
         let accepting = match predecessor {
             None => {
                 let listener = listen(&node)?;
                 if let Some(peers) =
                     Peers::bind(&node).await.map_err(|error| format!("peer_listen: {error}"))?
                 {
-                    spawn_local(way.clone().run(node.clone(), peers));
+                    spawn_local(path_to_peers.clone().run(node.clone(), peers));
                 }
                 spawn_local(upgrade::offer(node.clone()));
                 spawn_local(listener::run(node.clone(), listener))
             }
             Some(before) => {
-                node.take_over(&before.hello);
-                spawn_local(way.clone().run_after(node.clone()));
+                node.take_over(&before.handshake);
+                spawn_local(path_to_peers.clone().run_after(node.clone()));
                 let ended = upgrade::follow(&node, before);
                 let follower = node.clone();
                 spawn_local(async move {
@@ -258,7 +258,7 @@
             }
         };
         spawn_local(discovery::run(node.decisions.clone()));
-        spawn_local(node.clone().run(move |data| way.tell(data)));
+        spawn_local(node.clone().run(move |data| path_to_peers.tell(data)));
         let reloaded = || {
             reload::reload(&node, path, env);
             reload::reload_keys(&node, cluster_path);
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -7,7 +7,7 @@
 use crate::clients::Clients;
 use crate::config::{Config, Current};
 use crate::decisions::Decisions;
-use crate::hello::Hello;
+use crate::handshake::Handshake;
 use crate::link::WORD;
 use crate::operators::Operators;
 use crate::process::Process;
@@ -66,10 +66,10 @@
     }
 
     /// What the process that takes over is to know.
-    pub fn hello(&self, version: u32) -> Hello {
+    pub fn handshake(&self, version: u32) -> Handshake {
         // Two processes of one node have one budget: from here on it is the other's.
         let spent = self.decisions.decide(|facade, now| facade.hand_over(now));
-        Hello {
+        Handshake {
             version,
             name: self.config().name.clone(),
             config: self.config().told.clone(),
@@ -87,9 +87,9 @@
     }
 
     /// Takes over what the process before has told. The list is asked for at once: that one's news end with it.
-    pub fn take_over(&self, hello: &Hello) {
+    pub fn take_over(&self, handshake: &Handshake) {
         let known = self.operators.hosts();
-        for (host, stand) in &hello.hosts {
+        for (host, stand) in &handshake.hosts {
             // What the file told already stands.
             if !known.iter().any(|known| (&known.0, &known.1) == (host, stand)) {
                 self.operators.stand(host, *stand);
@@ -101,11 +101,11 @@
             taken,
             further,
         };
-        let spent = hello.spent.as_ref().map(|parts| parts.iter().map(part).collect());
+        let spent = handshake.spent.as_ref().map(|parts| parts.iter().map(part).collect());
         let late = Micros(WORD.as_micros() as u64);
         self.decisions.decide(|facade, now| facade.inherit(now, spent, late));
-        hello.ids.iter().for_each(|id| self.clients.know_id(id.as_bytes()));
-        hello.lease_left.iter().for_each(|left| self.decisions.inherit_lease(Micros(*left)));
+        handshake.ids.iter().for_each(|id| self.clients.know_id(id.as_bytes()));
+        handshake.lease_left.iter().for_each(|left| self.decisions.inherit_lease(Micros(*left)));
         self.decisions.ask_list.notify_one();
     }
 }
--- a/crates/alderstile-node/src/peers.rs
+++ b/crates/alderstile-node/src/peers.rs
@@ -22,9 +22,9 @@
 
 /// The way to the other nodes as this process has it: one of two processes of a node at a time.
 #[derive(Default)]
-pub struct Way(RefCell<Option<Rc<Peers>>>);
+pub struct PeerPath(RefCell<Option<Rc<Peers>>>);
 
-impl Way {
+impl PeerPath {
     /// Sends a message to all nodes, where this process has the way.
     pub fn tell(&self, data: &[u8]) {
         self.0.borrow().iter().for_each(|peers| peers.tell(data));
--- a/crates/alderstile-node/src/relay.rs
+++ b/crates/alderstile-node/src/relay.rs
@@ -31,7 +31,7 @@
     /// As a broken connection ends.
     Reset,
     /// Not at all: another process goes on with both.
-    Pass(Carried),
+    HandOver(Carried),
 }
 
 /// What was seen of the lines that passed, for the process that goes on with them.
@@ -213,7 +213,7 @@
             () = ready(host, host_interest) => {}
             () = mover.notify.notified() => {
                 if mover.reason() == Reason::HandedOver {
-                    return (Reason::HandedOver, Ending::Pass(watch.carried()));
+                    return (Reason::HandedOver, Ending::HandOver(watch.carried()));
                 }
                 return send_away(host, client, mover.reason()).await;
             }
--- a/crates/alderstile-node/src/session.rs
+++ b/crates/alderstile-node/src/session.rs
@@ -11,15 +11,15 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tracing::{debug, info, warn};
 
+use crate::backlog::Pending;
 use crate::buffer::LineBuffer;
 use crate::clients::{Counted, OpenId};
 use crate::counters::Ended;
 use crate::decisions::HostAt;
+use crate::handover::{self, Handover};
 use crate::link::{WORD, Word};
 use crate::list::server_id;
-use crate::lobby::Guest;
 use crate::node::Node;
-use crate::pass::{self, Passed};
 use crate::protocol::{ClientLine, HostLine, Open, client_line, host_line};
 use crate::reason::Reason;
 use crate::relay::{self, Carried, Ending};
@@ -37,13 +37,13 @@
 const LOGGED: usize = 120;
 
 /// Serves one connection.
-pub async fn run(node: Rc<Node>, stream: TcpStream, guest: Guest) {
+pub async fn run(node: Rc<Node>, stream: TcpStream, pending: Pending) {
     let mut client = Side::new(stream);
     let greeted = tokio::select! {
         biased;
         greeted = timeout(FIRST_LINE, greet(&node, &mut client)) => greeted.unwrap_or(Err(Reason::ClientSilent)),
         () = async {
-            guest.shown_out().await;
+            pending.evicted().await;
             // Guards against showing out one whose line has come but was not looked for yet, as many come at once: the
             // runtime looks once more before this goes on.
             tokio::task::yield_now().await;
@@ -57,21 +57,21 @@
         Err(Reason::Pinged) => return debug!("end code={}", Reason::Pinged),
         Err(reason @ Reason::ClientOverlong) => {
             info!("end code={reason}");
-            return turn_away(client, guest).await;
+            return turn_away(client, pending).await;
         }
         Err(reason) => return info!("end code={reason}"),
     };
     let arrived = Instant::now();
     match admit(&node, &line) {
         Ok((open, class, _id)) => {
-            drop(guest);
+            drop(pending);
             Session { node, line: &line, open, class, arrived, attempts: 0, up_ms: 0 }.run(client).await;
         }
         Err(reason) => {
             // A part is enough to tell what it was meant to be, and a flood must not fill the log.
             let shown = String::from_utf8_lossy(&line[..line.len().min(LOGGED)]).into_owned();
             info!("end code={reason} line={shown:?}");
-            turn_away(client, guest).await;
+            turn_away(client, pending).await;
         }
     }
 }
@@ -112,10 +112,10 @@
 }
 
 /// Ends the connection of one that is never served; at once where its place is wanted.
-async fn turn_away(client: Side, guest: Guest) {
+async fn turn_away(client: Side, pending: Pending) {
     tokio::select! {
         () = client.close_with(b"ERR\r\n") => {}
-        () = guest.shown_out() => {}
+        () = pending.evicted() => {}
     }
 }
 
@@ -213,7 +213,7 @@
     async fn place(&mut self, client: &mut Side, deadline: Instant) -> Placed {
         // The host's connection needs a descriptor too. Guards against clients that take all there are and stay: what is left
         // for those who come would be one, and a crowd that says nothing would have that by turns.
-        let Some(descriptor) = self.node.clients.descriptor(self.node.clients.lobby.places()) else {
+        let Some(descriptor) = self.node.clients.descriptor(self.node.clients.backlog.places()) else {
             return Placed::Answered(Reason::NodeFull, b"BUSY\r\n".to_vec());
         };
         let mut descriptor = Some(descriptor);
@@ -396,8 +396,8 @@
         let mover = self.node.clients.serve(id);
         let (mut reason, mut ending) =
             relay::run(&self.node.decisions, &mut client, &mut host, (id, server), &mover, carried).await;
-        if let Ending::Pass(carried) = ending
-            && let Err(error) = self.pass(&client, &host, &name, carried).await
+        if let Ending::HandOver(carried) = ending
+            && let Err(error) = self.hand_over(&client, &host, &name, carried).await
         {
             debug!("not passed on: id={shown}: {error}");
             (reason, ending) = relay::send_away(&mut host, &client, Reason::NodeLeaving).await;
@@ -425,16 +425,16 @@
                 client.reset();
             }
             // The other process holds both: ending these here ends nothing.
-            Ending::Pass(_) => {}
+            Ending::HandOver(_) => {}
         }
     }
 
     /// Passes the connection on to the process that takes over.
-    async fn pass(&self, client: &Side, host: &Side, name: &str, carried: Carried) -> io::Result<()> {
-        let to = self.node.clients.passing().ok_or(io::ErrorKind::NotConnected)?;
+    async fn hand_over(&self, client: &Side, host: &Side, name: &str, carried: Carried) -> io::Result<()> {
+        let to = self.node.clients.handover().ok_or(io::ErrorKind::NotConnected)?;
         let (number, taken) = self.node.process.linked().map(|link| link.owe()).unzip();
         let millis = |ms: u128| u64::try_from(ms).unwrap_or(u64::MAX);
-        let passed = Passed {
+        let passed = Handover {
             line: String::from_utf8_lossy(self.line).into_owned(),
             host: name.to_owned(),
             from_client: client.buffer.bytes().to_vec(),
@@ -445,7 +445,7 @@
             age_ms: millis(self.arrived.elapsed().as_millis()),
             number,
         };
-        pass::send(&to, passed, [&client.stream, &host.stream]).await?;
+        handover::send(&to, passed, [&client.stream, &host.stream]).await?;
         // Guards against a successor that ends before it has read this: both sides are held until it says that it has them.
         // One of an older version never says so.
         let Some(taken) = taken else { return Ok(()) };
@@ -457,7 +457,7 @@
 }
 
 /// Goes on with a connection that the process before has passed on.
-pub async fn resume(node: Rc<Node>, passed: Passed, sockets: Vec<std::net::TcpStream>) {
+pub async fn resume(node: Rc<Node>, passed: Handover, sockets: Vec<std::net::TcpStream>) {
     let line = passed.line.as_bytes();
     let Some(ClientLine::Open(open)) = client_line(line) else {
         return warn!("a connection passed on with a line that is none");
--- a/crates/alderstile-node/src/shutdown.rs
+++ b/crates/alderstile-node/src/shutdown.rs
@@ -7,8 +7,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tracing::{info, warn};
 
+use crate::handover;
 use crate::node::Node;
-use crate::pass;
 
 /// What is kept of the time that a stop may take: the last clients' lines and ends must pass before it is over.
 const KEPT: Duration = Duration::from_millis(600);
@@ -59,8 +59,8 @@
         node.process.linked().iter().for_each(|link| link.tell_closed());
         // A successor that is told to leave first has nobody to pass them on to: the one that serves takes none back.
         if node.process.linked().is_some_and(|link| link.successor) {
-            match pass::sender(&node.config()) {
-                Ok(to) => node.clients.pass_all(to),
+            match handover::sender(&node.config()) {
+                Ok(to) => node.clients.hand_over_all(to),
                 Err(error) => warn!("leaving: connections can't be passed on: {error}"),
             }
         }
@@ -71,7 +71,7 @@
         sleep(LOOK).await;
     }
     // Those that come up from now on are moved, or passed on, by their own sessions.
-    if node.clients.passing().is_none() {
+    if node.clients.handover().is_none() {
         node.clients.move_all();
     }
     if !node.process.shared() {
--- a/crates/alderstile-node/src/upgrade.rs
+++ b/crates/alderstile-node/src/upgrade.rs
@@ -19,11 +19,11 @@
 use tracing::{info, warn};
 
 use crate::config::Identity;
-use crate::hello::Hello;
+use crate::handover;
+use crate::handshake::Handshake;
 use crate::link::{Link, WORD, Word};
 use crate::list::server_id;
 use crate::node::Node;
-use crate::pass;
 
 /// The form of the lines; a process that speaks another one starts alone.
 const VERSION: u32 = 1;
@@ -83,7 +83,7 @@
 /// The stream to the predecessor, until the node takes it over.
 pub struct Predecessor {
     /// What it told.
-    pub hello: Hello,
+    pub handshake: Handshake,
     reader: BufReader<OwnedReadHalf>,
     writer: OwnedWriteHalf,
 }
@@ -108,10 +108,16 @@
     };
     let error = match said.await {
         Ok(Word::Taken) => return Err(AlreadyTaken),
-        Ok(Word::Hello(hello)) if hello.version != VERSION => LinkError::Version(hello.version),
-        Ok(Word::Hello(hello)) if hello.name == who.name => {
-            info!("takes over: {} hosts listed, {} named by hand", hello.list.hosts.len(), hello.hosts.len());
-            return Ok(Some(Predecessor { hello: *hello, reader, writer }));
+        Ok(Word::Handshake(handshake)) if handshake.version != VERSION => {
+            LinkError::Version(handshake.version)
+        }
+        Ok(Word::Handshake(handshake)) if handshake.name == who.name => {
+            info!(
+                "takes over: {} hosts listed, {} named by hand",
+                handshake.list.hosts.len(),
+                handshake.hosts.len()
+            );
+            return Ok(Some(Predecessor { handshake: *handshake, reader, writer }));
         }
         Ok(_) => LinkError::Turn,
         Err(error) => error,
@@ -122,9 +128,9 @@
 
 /// Stays in touch with the predecessor until it ends.
 pub fn follow(node: &Rc<Node>, predecessor: Predecessor) -> impl Future<Output = ()> + use<> {
-    let Predecessor { hello, reader, writer } = predecessor;
+    let Predecessor { handshake, reader, writer } = predecessor;
     let (say, words) = mpsc::unbounded_channel();
-    let link = Link::new(say, hello.held, false);
+    let link = Link::new(say, handshake.held, false);
     node.process.link(Some(link.clone()));
     let node = node.clone();
     async move {
@@ -177,10 +183,10 @@
             info!("another process takes over");
             let (say, words) = mpsc::unbounded_channel();
             let link = Link::new(say, 0, true);
-            // What is told from here on comes after the hello.
+            // What is told from here on comes after the handshake.
             node.process.link(Some(link.clone()));
-            let hello = Word::Hello(Box::new(node.hello(VERSION)));
-            match write(&mut writer, &hello).await {
+            let handshake = Word::Handshake(Box::new(node.handshake(VERSION)));
+            match write(&mut writer, &handshake).await {
                 Ok(()) => {
                     talk(&node, &link, reader, writer, words).await;
                     node.decisions.serve_on();
@@ -203,7 +209,7 @@
 
 async fn share_door(node: &Node) -> io::Result<()> {
     let door = node.process.listens().ok_or(io::ErrorKind::NotConnected)?;
-    pass::share_door(&pass::sender(&node.config())?, &*door).await
+    handover::share_door(&handover::sender(&node.config())?, &*door).await
 }
 
 /// Speaks with the other process until the stream ends, which means that it has.
@@ -236,7 +242,7 @@
                 Word::Id(id) => node.clients.know_id(id.as_bytes()),
                 Word::Closed => link.other_is_ready(false),
                 Word::Done { number } => link.done(number),
-                Word::Join { .. } | Word::Hello(_) | Word::Taken => return Err(LinkError::Turn),
+                Word::Join { .. } | Word::Handshake(_) | Word::Taken => return Err(LinkError::Turn),
             }
         }
         Ok(())
--- a/crates/alderstile-node/tests/lease.rs
+++ b/crates/alderstile-node/tests/lease.rs
@@ -440,12 +440,12 @@
         let host = Host::new("s-1").await;
         let (setup, _watch) = serving(&[&host]).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
-        let hello = setup.node.hello(1);
+        let handshake = setup.node.handshake(1);
         let left = setup.node.decisions.lease_left();
         assert!(left < ms(5_750) && left > Micros(0), "{left:?}");
         let config = Config::of_file(setup.node.config().told.clone(), |_| None).expect("fine");
         let next = Node::new(config);
-        next.take_over(&hello);
-        assert!(next.decisions.lease_left() <= Micros(hello.lease_left.expect("told")));
+        next.take_over(&handshake);
+        assert!(next.decisions.lease_left() <= Micros(handshake.lease_left.expect("told")));
     });
 }
--- a/crates/alderstile-node/tests/node.rs
+++ b/crates/alderstile-node/tests/node.rs
@@ -643,7 +643,7 @@
         sleep(Duration::from_millis(50)).await;
         // Its place is needed in the moment in which its line comes: the runtime has not looked for that yet.
         std::io::Write::write_all(&mut client, b"OPEN 7 7 c=chat,d=20000\r\n").expect("sent");
-        setup.node.clients.lobby.show_out_oldest();
+        setup.node.clients.backlog.evict_oldest();
         let mut server = timeout(Duration::from_secs(5), host.accept()).await.expect("it is served");
         assert!(server.line().await.is_some_and(|line| line.starts_with("OPEN 7 7 ")));
     });
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -4,7 +4,7 @@
 use std::process::Stdio;
 
 use alderstile_node::config::Config;
-use alderstile_node::hello::Hello;
+use alderstile_node::handshake::Handshake;
 use alderstile_node::list::server_id;
 use alderstile_node::reload::reload;
 use proptest::prelude::*;
@@ -379,15 +379,15 @@
 #[test]
 fn a_process_that_takes_over_goes_by_the_file_in_force_where_its_own_was_turned_down() {
     let value = config("127.0.0.1:9000", "127.0.0.1:8500");
-    let hello = Hello {
+    let handshake = Handshake {
         config: value.clone(),
         discovery: Some("127.0.0.1:8507".parse().expect("an address")),
-        ..Hello::default()
+        ..Handshake::default()
     };
     // The environment's word is of the start before.
     let env = |name: &str| (name == "ROUTER_DISCOVERY").then(|| "127.0.0.1:8500".to_owned());
     let take = |name: &str, value: &Value| {
-        Config::taking_over(&hello, Some(&file(name, value)), env).expect("a configuration")
+        Config::taking_over(&handshake, Some(&file(name, value)), env).expect("a configuration")
     };
     let same = take("same", &value);
     assert_eq!(same.discovery.port(), 8507, "the one that serves knows better");
