Hosts past the lease are set aside, not called gone: operators' calls still find them

Seen by reading: a host given to the decisions as gone is forgotten by `Maintenance` (src/maintenance.rs `lay_over` takes it out of `listed`), so that taking it out by hand was answered 404 and `hosts_listed` fell to nothing while the lease was over. Change: `ServerState::Aside`, which says just this: what is held there stays, new work goes elsewhere.

Tests: `operators_take_hosts_out_and_back_while_the_lease_is_over` fails with `Gone`; `what_is_asked_in_the_moment_the_lease_runs_out_is_not_sent` fails without the lease in `may_go`, which `where_gone_is_advice...` no longer shows now that such hosts are not called gone. tests/lease.rs: 20 passed.

--- a/crates/alderstile-node/src/decisions.rs
+++ b/crates/alderstile-node/src/decisions.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 
 use alderstile::facade::Facade;
-use alderstile::interface::{ListKind, Micros, RequestId, ServerEntry, ServerId, Settings, Weights};
+use alderstile::interface::{
+    ListKind, Micros, RequestId, ServerEntry, ServerId, ServerState, Settings, Weights,
+};
 use alderstile::shadow::Differences;
 use alderstile_cluster::choices::Choices;
 use alderstile_cluster::subsets::Node as Peer;
@@ -219,10 +221,10 @@
             return;
         }
         warn!("server list: nothing heard for too long, {} hosts are sent nothing new", out.len());
-        let gone = |host: &Host| Host { health: Health::Removed, ..host.clone() };
-        let hosts = out.iter().filter_map(|id| listed.get(id)).map(gone).collect();
-        let entries = List { seq: 0, whole: false, hosts }.entries(&self.config.get().zones);
+        let hosts = out.iter().filter_map(|id| listed.get(id)).cloned().collect();
+        let mut entries = List { seq: 0, whole: false, hosts }.entries(&self.config.get().zones);
         drop(listed);
+        entries.iter_mut().for_each(|entry| entry.state = ServerState::Aside);
         // Past what nodes share out among themselves: that one is to go on with what is listed.
         self.decide(|facade, now| facade.report_list(now, ListKind::Delta, entries));
     }
--- a/crates/alderstile-node/tests/lease.rs
+++ b/crates/alderstile-node/tests/lease.rs
@@ -399,6 +399,43 @@
     });
 }
 
+#[test]
+fn what_is_asked_in_the_moment_the_lease_runs_out_is_not_sent() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, watch) = serving_with(&[&host], pushed).await;
+        let mut client = setup.client().await;
+        drop(watch);
+        let (_, _call) = setup.discovery.call().await;
+        // Nothing else runs on this thread meanwhile: the line has come, and the hosts are not set aside yet.
+        client.0.get_ref().try_write(b"OPEN 01 01 c=chat,d=20000\r\n").expect("sent");
+        std::thread::sleep(Duration::from_millis(450));
+        assert!(client.line().await.is_some_and(|line| line.starts_with("BUSY")));
+        assert!(timeout(Duration::from_millis(50), host.accept()).await.is_err(), "asked all the same");
+    });
+}
+
+#[test]
+fn operators_take_hosts_out_and_back_while_the_lease_is_over() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, watch) = serving_with(&[&host], pushed).await;
+        drop(watch);
+        let (_, mut call) = setup.discovery.call().await;
+        tokio::time::sleep(Duration::from_millis(450)).await;
+        refused(&setup, 1, &host).await;
+        let operators = &setup.node.operators;
+        assert!(operators.maintain("s-1", false).await.expect("done"), "the list names it");
+        call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        chunk(&mut call, "\n").await;
+        while setup.node.decisions.lease_left() == Micros(0) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        refused(&setup, 2, &host).await;
+        assert!(operators.maintain("s-1", true).await.expect("done"));
+    });
+}
+
 #[test]
 fn where_gone_is_advice_nothing_new_goes_to_what_may_drain_either() {
     // The decisions go on with hosts that are called gone where connections stand: here these may drain.
