--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 use tracing::warn;
 
-use crate::hello::Hello;
+use crate::handshake::Handshake;
 use crate::list::List;
 
 mod cluster;
@@ -42,6 +42,11 @@
 /// that broke is asked for again at once, as often as need be (half of this is the longest wait). Calls reach the agent alone.
 const PUSHED: Micros = Micros::from_millis(200);
 
+/// How long something new may go to a host after its drain was told, where nothing else is said; and what is kept of that, as
+/// a line has to get there in time.
+const GRACE: Micros = Micros::from_millis(500);
+const GRACE_KEPT: Micros = Micros::from_millis(100);
+
 /// Why there is no configuration.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -87,7 +92,7 @@
     pub discovery: SocketAddr,
     /// For random numbers.
     pub seed: u64,
-    /// Descriptors that the node may hold.
+    /// Descriptors that the node may hold: as the file says, and no more than the system allows.
     pub sockets: usize,
     /// Where messages of other nodes arrive.
     pub peer_listen: Option<SocketAddr>,
@@ -107,6 +112,8 @@
     pub connect_timeout: Duration,
     /// How long a planned stop may take.
     pub stop_within: Duration,
+    /// Where lists are pushed: how long something new may still go to a host after its drain was told.
+    pub pushed: Option<Micros>,
     /// What the decisions are told.
     pub settings: Settings,
     /// What a second instance is told that only watches.
@@ -246,17 +253,19 @@
         let shadow =
             new.shadow.clone().map(|shadow| numbered(shadow, self.shadow.as_ref().unwrap_or(&self.settings)));
         let (discovery, stop_within, connect_timeout) = (new.discovery, new.stop_within, new.connect_timeout);
-        Ok((Config { settings, shadow, discovery, stop_within, connect_timeout, told, ..next }, waiting))
+        let pushed = new.pushed;
+        let next = Config { settings, shadow, discovery, stop_within, connect_timeout, pushed, told, ..next };
+        Ok((next, waiting))
     }
 
     /// The configuration of a process that takes over: its own file, unless the one that serves would turn that down. What
     /// that one has learned counts.
     pub fn taking_over(
-        hello: &Hello,
+        handshake: &Handshake,
         path: Option<&Path>,
         env: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
-        let force = Self::of_file(hello.config.clone(), &env)?;
+        let force = Self::of_file(handshake.config.clone(), &env)?;
         let file = Self::read(path, &env).and_then(|file| {
             force.renewed(file.clone())?;
             Self::of_file(file, &env)
@@ -270,9 +279,9 @@
         // The file's word counts where it is new; otherwise the one that serves knows better than a start's environment.
         config.discovery = match (place(&force.told), place(&config.told)) {
             (old, Some(new)) if old != Some(new) => new,
-            _ => hello.discovery.unwrap_or(config.discovery),
+            _ => handshake.discovery.unwrap_or(config.discovery),
         };
-        config.known = hello.list.clone();
+        config.known = handshake.list.clone();
         Ok(config)
     }
 
@@ -303,7 +312,10 @@
             (0..count).map(|i| set.micros(&format!("classes.{i}.give_up")).or_else(absent(GIVE_UP)));
         let longest = give_ups.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or(GIVE_UP);
         let timeout = set.micros("allowed.connect_timeout").map(|span| Duration::from_micros(span.0));
-        let settings = on_sockets(settings::parse(&set)?);
+        let settings = settings::parse(&set)?;
+        let grace = set.micros("obligations.stop_sending_within").or_else(absent(GRACE))?;
+        let pushed = (!settings.must_ask).then_some(grace - GRACE_KEPT);
+        let settings = on_sockets(settings);
         let shadow = shadow.map(|section| self::shadow(section, &set, settings.classes.len())).transpose()?;
         Ok(Config {
             name: keys.text("name")?.to_owned(),
@@ -316,7 +328,10 @@
                     .map_err(|_| keys.bad("seed", text, "at most 16 hexadecimal digits"))?,
                 Err(_) => std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0),
             },
-            sockets: keys.read("limits.sockets", "a whole number").or_else(absent(SOCKETS))?,
+            sockets: keys
+                .read("limits.sockets", "a whole number")
+                .or_else(absent(SOCKETS))?
+                .min(system_sockets()),
             peer_listen: keys.read("peer_listen", address).map(Some).or_else(absent(None))?,
             peers: peers.collect::<Result<_, _>>()?,
             peers_all: keys.read("peers_all", address).map(Some).or_else(absent(None))?,
@@ -326,6 +341,7 @@
             zones: set.list("zones").into_iter().map(str::to_owned).collect(),
             connect_timeout: timeout.or_else(absent(CONNECT_TIMEOUT))?,
             stop_within: Duration::from_micros(longest.0.min(LONGEST_GIVE_UP.0)) + STOP_AFTER,
+            pushed,
             settings,
             shadow: shadow.flatten(),
             told: Value::Null,
@@ -333,6 +349,12 @@
     }
 }
 
+/// Descriptors that the system lets this process hold: with a limit above that the node's own would not be kept for it.
+fn system_sockets() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
+
 /// The first key of the old values that the new ones lack. Classes are held against those of the same name, and may
 /// vanish; other lists are values.
 fn lacking(old: &Value, new: &Value) -> Option<String> {
