--- a/crates/alderstile-lab/src/main.rs
+++ b/crates/alderstile-lab/src/main.rs
@@ -10,7 +10,9 @@
 use alderstile_lab::emulated::{self, Choice, Sums, Traffic};
 use alderstile_lab::history::{self, History};
 use alderstile_lab::processes::{self, Options};
+use alderstile_lab::scale::{self, Runs};
 use alderstile_lab::schedule::Plan;
+use alderstile_lab::tables;
 use clap::{Parser, Subcommand, ValueEnum};
 use tracing::error;
 use tracing_subscriber::EnvFilter;
@@ -81,6 +83,25 @@
         #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=1000))]
         seeds: u64,
     },
+    /// Measure members at several sizes: hollow nodes beside real ones
+    ///
+    /// Ends with 0, or 2 where nothing was measured. Tables are left as NAME.csv and NAME.md.
+    Scale {
+        /// What is to be done at which sizes, a TOML file
+        file: PathBuf,
+        /// Only the sizes of so many members
+        #[arg(long)]
+        members: Option<usize>,
+        /// Where tables are left
+        #[arg(long, default_value = "lab-out")]
+        out: PathBuf,
+        /// The name of the tables
+        #[arg(long, default_value = "scale")]
+        name: String,
+        /// The nodes' program; without, the one beside this program
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Check a history again
     Check {
         /// The history, a file of JSON lines
@@ -147,6 +168,26 @@
             }
             Ok(true)
         }
+        Command::Scale { file, members, out, name, program } => {
+            let mut runs = Runs::load(&file)?;
+            runs.sizes.retain(|size| members.is_none_or(|members| members == size.members));
+            let real = runs.sizes.iter().any(|size| size.real > 0);
+            let program = match program {
+                Some(program) => program,
+                None if real => processes::program_beside().map_err(|error| error.to_string())?,
+                None => PathBuf::new(),
+            };
+            let mut rows = Vec::new();
+            let mut written = Ok(());
+            scale::run(&runs, &program, &scale::no_parts(), |_, more| {
+                rows.extend_from_slice(more);
+                // After each size: what comes later may be interrupted.
+                written = tables::write(&out, &name, &rows);
+            })?;
+            written.map_err(|error| format!("{}: {error}", out.display()))?;
+            print!("{}", tables::markdown(&rows));
+            if rows.is_empty() { Err("no size was measured".to_owned()) } else { Ok(true) }
+        }
         Command::Check { file } => checked(&file),
         Command::List { folder } => list(&folder).map(|()| true),
     }
@@ -311,7 +352,14 @@
             Ok(plan) => {
                 println!("{:<32} {} nodes, {} s: {}", file.display(), plan.nodes, plan.length_s, plan.title)
             }
-            Err(error) => println!("{error}"),
+            // Scale runs have a form of their own.
+            Err(error) => match Runs::load(&file) {
+                Ok(runs) => {
+                    let sizes: Vec<String> = runs.sizes.iter().map(|size| size.members.to_string()).collect();
+                    println!("{:<32} scale, {} members: {}", file.display(), sizes.join(", "), runs.title);
+                }
+                Err(_) => println!("{error}"),
+            },
         }
     }
     Ok(())
--- /dev/null
+++ b/crates/alderstile-lab/src/measure.rs
@@ -0,0 +1,1 @@
+//! What one real node costs: to come.
--- a/crates/alderstile-lab/src/processes/mod.rs
+++ b/crates/alderstile-lab/src/processes/mod.rs
@@ -20,9 +20,9 @@
 use crate::schedule::{About, Actor, Choices, Kind, MOST_PROCESSES, Members, Part, Plan, Planned, Semantics};
 
 mod clients;
-mod discovery;
+pub(crate) mod discovery;
 mod hosts;
-mod nodes;
+pub(crate) mod nodes;
 mod ways;
 
 use clients::{Client, Front, Wanting};
@@ -121,7 +121,7 @@
 }
 
 /// Waits for an interrupt or a signal to end.
-async fn interrupted() {
+pub(crate) async fn interrupted() {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
     else {
@@ -131,7 +131,7 @@
 }
 
 /// Loopback addresses that no other run uses.
-struct Addresses {
+pub(crate) struct Addresses {
     second: u8,
     /// Held as long as the run, so that no other takes them.
     _lock: TcpListener,
@@ -150,7 +150,7 @@
 static RUNS: AtomicU32 = AtomicU32::new(0);
 
 impl Addresses {
-    async fn take() -> Result<Self, RunError> {
+    pub(crate) async fn take() -> Result<Self, RunError> {
         let first = std::process::id().wrapping_mul(31).wrapping_add(RUNS.fetch_add(1, Ordering::Relaxed));
         let mut last = None;
         for step in 0..100u32 {
@@ -163,6 +163,11 @@
         Err(RunError::Io("no addresses left".to_owned(), last.unwrap_or(io::ErrorKind::AddrInUse.into())))
     }
 
+    /// Beyond those: for up to 40,000 parties of a run that has no others.
+    pub(crate) fn wide(&self, number: usize, port: u16) -> SocketAddr {
+        (Ipv4Addr::new(127, self.second, 16 + (number / 200) as u8, 1 + (number % 200) as u8), port).into()
+    }
+
     fn at(&self, what: For, number: usize, port: u16) -> SocketAddr {
         // At most a hundred parties of one kind.
         (Ipv4Addr::new(127, self.second, what as u8, 10 + number as u8), port).into()
@@ -205,7 +210,7 @@
 }
 
 /// The settings that all nodes have, in the form of a node's file.
-fn settings(plan: &Plan) -> Value {
+pub(crate) fn settings(plan: &Plan) -> Value {
     let classes: Vec<Value> = plan
         .clients
         .iter()
--- a/crates/alderstile-lab/src/processes/nodes.rs
+++ b/crates/alderstile-lab/src/processes/nodes.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Its number in the system.
+    pub fn pid(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+
     /// Ends it at once.
     pub async fn kill(&self) {
         self.expected.set(true);
--- /dev/null
+++ b/crates/alderstile-lab/src/scale.rs
@@ -0,0 +1,764 @@
+//! Scale runs: hollow nodes ([`crate::hollow`]) with real ones among them, at several sizes, and what membership costs and
+//! how long its news takes at each.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use alderstile::interface::Micros;
+use alderstile_cluster::members::{Seal, Settings};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+use crate::history::History;
+use crate::hollow::{Hollows, Look, Looks, MakePart, Network, Seen, Setup, Spec, What};
+use crate::processes::discovery::{Discovery, Entry};
+use crate::processes::nodes::{self, Folder, Node};
+use crate::processes::{Addresses, interrupted, settings};
+use crate::real::{Usage, counters, usage};
+use crate::schedule::Plan;
+use crate::tables::Row;
+
+/// Where members' datagrams arrive.
+const MEMBERS: u16 = 7_946;
+/// How often is looked whether something is known everywhere; what a real node sees is known this exactly.
+const LOOK: Duration = Duration::from_millis(100);
+/// All hollow nodes start within this.
+const STARTS: Duration = Duration::from_secs(1);
+/// Between two deaths, and between two pieces of news.
+const APART: Duration = Duration::from_secs(2);
+/// Most members of a run, and most real processes among them.
+const MOST_MEMBERS: usize = 5_000;
+const MOST_REAL: usize = 100;
+/// The cluster's key: these nodes have nothing to hide.
+const KEY: [u8; 32] = [0x5a; 32];
+
+/// One size.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// All members.
+    pub members: usize,
+    /// Real processes among them.
+    pub real: usize,
+}
+
+/// What a run is to do: the file's form.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Runs {
+    /// What it is about.
+    pub title: String,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// One run after the other.
+    pub sizes: Vec<Size>,
+    /// Members that are set aside for control, spread over all zones. So far they do what all members do.
+    pub control: usize,
+    /// Zones over which members are dealt out, one after the other.
+    pub zones: usize,
+    /// The first so many of them are one region, with all real nodes; the rest are the other.
+    pub zones_of_first_region: usize,
+    /// The protocol period.
+    pub period_ms: u64,
+    /// As in the cluster's file.
+    pub suspicion: f64,
+    /// Threads that share the hollow nodes.
+    pub threads: usize,
+    /// How long nothing happens while costs are measured.
+    pub quiet_s: f64,
+    /// Members that die and come back, one after the other.
+    pub deaths: usize,
+    /// Members that tell another digest of their settings, one after the other.
+    pub news: usize,
+    /// Whether the last zone dies and comes back.
+    pub zone: bool,
+    /// How long regions don't hear each other; 0 for not at all.
+    pub parted_s: f64,
+    /// A size that is not done by then is given up.
+    pub most_s: f64,
+}
+
+impl Runs {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| format!("{shown}: {error}"))?;
+        Self::parse(&shown, &text)
+    }
+
+    /// Checks a text.
+    pub fn parse(shown: &str, text: &str) -> Result<Self, String> {
+        let runs: Runs = toml::from_str(text).map_err(|error| format!("{shown}: {error}"))?;
+        let bad = |key: &str, what: &str| Err(format!("{shown}: the key {key}: {what}"));
+        if runs.sizes.is_empty() {
+            return bad("sizes", "at least one is wanted");
+        }
+        for (i, size) in runs.sizes.iter().enumerate() {
+            if size.members < 2 || size.members > MOST_MEMBERS {
+                return bad(&format!("sizes[{i}].members"), &format!("2 to {MOST_MEMBERS} is wanted"));
+            }
+            let room = (0..size.members).filter(|&number| runs.may_be_real(number)).count();
+            if size.real > MOST_REAL.min(room) {
+                return bad(
+                    &format!("sizes[{i}].real"),
+                    &format!(
+                        "at most {} is wanted: real nodes are in the first region and no control machines",
+                        MOST_REAL.min(room)
+                    ),
+                );
+            }
+            // Those that die and tell are hollow, no control machines, and not of the zone that is lost.
+            let able = (0..size.members).filter(|&number| runs.is_ordinary(number)).count() - size.real;
+            let most = able.min(size.members / 3);
+            for (key, value) in [("deaths", runs.deaths), ("news", runs.news)] {
+                if value > most {
+                    return bad(key, &format!("at most {most} is wanted for {} members", size.members));
+                }
+            }
+        }
+        if runs.zones == 0 || runs.zones > 100 || runs.zones_of_first_region > runs.zones {
+            return bad("zones", "1 to 100 is wanted, with zones_of_first_region of them at most");
+        }
+        if !(50..=60_000).contains(&runs.period_ms) {
+            return bad("period_ms", "50 to 60000 is wanted");
+        }
+        if !(1.0..=100.0).contains(&runs.suspicion) {
+            return bad("suspicion", "1 to 100 is wanted");
+        }
+        if !(1..=64).contains(&runs.threads) {
+            return bad("threads", "1 to 64 is wanted");
+        }
+        for (key, value) in [("quiet_s", runs.quiet_s), ("parted_s", runs.parted_s), ("most_s", runs.most_s)]
+        {
+            if !(0.0..=86_400.0).contains(&value) {
+                return bad(key, "0 to 86400 is wanted");
+            }
+        }
+        Ok(runs)
+    }
+
+    fn zone_of(&self, number: usize) -> usize {
+        number % self.zones.max(1)
+    }
+
+    fn region_of(&self, number: usize) -> u8 {
+        u8::from(self.zone_of(number) >= self.zones_of_first_region)
+    }
+
+    fn may_be_real(&self, number: usize) -> bool {
+        self.is_ordinary(number) && self.region_of(number) == 0
+    }
+
+    /// Neither a control machine nor of the zone that is lost.
+    fn is_ordinary(&self, number: usize) -> bool {
+        number >= self.control && (self.zones == 1 || self.zone_of(number) + 1 != self.zones)
+    }
+
+    fn period_s(&self) -> f64 {
+        self.period_ms as f64 / 1e3
+    }
+}
+
+/// Plays all sizes; each size's figures are handed to `done` as it ends.
+pub fn run(
+    runs: &Runs,
+    program: &Path,
+    parts: &MakePart,
+    mut done: impl FnMut(Size, &[Row]),
+) -> Result<(), String> {
+    for size in &runs.sizes {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|error| error.to_string())?;
+        let rows = LocalSet::new().block_on(&runtime, async {
+            let mut fleet = Fleet::build(runs, *size, program, parts).await?;
+            let played = tokio::select! {
+                played = timeout(Duration::from_secs_f64(runs.most_s), fleet.play()) => {
+                    played.unwrap_or_else(|_| Err(format!("{} members: not done after {} s", size.members, runs.most_s)))
+                }
+                () = interrupted() => Err("interrupted".to_owned()),
+            };
+            fleet.end().await;
+            // What was measured until then stays.
+            let rows = std::mem::take(&mut fleet.rows);
+            match played {
+                Ok(()) => Ok(rows),
+                Err(error) if rows.is_empty() => Err(error),
+                Err(error) => {
+                    warn!("{error}");
+                    Ok(rows)
+                }
+            }
+        })?;
+        done(*size, &rows);
+    }
+    Ok(())
+}
+
+/// All members of one run.
+struct Fleet<'a> {
+    runs: &'a Runs,
+    size: Size,
+    specs: Vec<Spec>,
+    network: Arc<Network>,
+    hollows: Hollows,
+    real: Vec<Rc<Node>>,
+    /// Which numbers are real.
+    real_numbers: BTreeSet<usize>,
+    hollow_alive: BTreeSet<usize>,
+    discovery: Vec<JoinHandle<()>>,
+    rows: Vec<Row>,
+    before: u64,
+    _folder: Folder,
+    _addresses: Addresses,
+}
+
+/// What was counted at one moment.
+struct Meter {
+    at: Micros,
+    looks: Vec<Looks>,
+    real: Vec<Option<(Usage, BTreeMap<String, u64>)>>,
+}
+
+impl Meter {
+    fn nodes(&self) -> BTreeMap<usize, Look> {
+        self.looks.iter().flat_map(|looks| &looks.nodes).map(|look| (look.number, *look)).collect()
+    }
+
+    fn cpu(&self) -> Duration {
+        self.looks.iter().map(|looks| looks.cpu).sum()
+    }
+}
+
+impl<'a> Fleet<'a> {
+    async fn build(runs: &'a Runs, size: Size, program: &Path, parts: &MakePart) -> Result<Self, String> {
+        let text = |error: io::Error| error.to_string();
+        let at = Addresses::take().await.map_err(|error| error.to_string())?;
+        let folder = Folder::new(size.members as u32 + 10_000).map_err(text)?;
+        let zone = |number| format!("z{}", runs.zone_of(number));
+        let specs: Vec<Spec> = (0..size.members)
+            .map(|number| {
+                let kind = if number < runs.control { "c" } else { "n" };
+                let address = at.wide(number, MEMBERS);
+                Spec { number, name: format!("{kind}{number}"), zone: zone(number), address }
+            })
+            .collect();
+        let regions = specs.iter().map(|spec| (spec.address, runs.region_of(spec.number))).collect();
+        let network = Network::new(regions);
+        let mut settings = Settings::with_period(Micros::from_millis(runs.period_ms));
+        settings.suspicion = runs.suspicion;
+        let seal = Seal::new("scale", &[KEY.to_vec()]).ok_or("no key")?;
+        let seeds: Vec<SocketAddr> = specs.iter().take(3).map(|spec| spec.address).collect();
+        let setup = Setup {
+            settings,
+            seal,
+            seeds: seeds.clone(),
+            network: network.clone(),
+            seed: runs.seed,
+            parts: parts.clone(),
+        };
+        let before = own_resident();
+        let hollows = Hollows::new(runs.threads, &setup).map_err(text)?;
+        let history = Rc::new(History::unread());
+        let numbers: Vec<usize> =
+            (0..size.members).filter(|&number| runs.may_be_real(number)).take(size.real).collect();
+        let list = at.wide(0, 8_500);
+        let entry = Entry { health: "up", zone: zone(0), born_ms: 0 };
+        let host = at.wide(0, 9_009);
+        let list_of = Discovery::new(vec![entry], 1, Duration::ZERO, history.clone(), move |_, _| host);
+        let mut discovery = Vec::new();
+        if !numbers.is_empty() {
+            discovery.push(spawn_local(async move {
+                if let Err(error) = list_of.answer(0, list).await {
+                    warn!("discovery: {error}");
+                }
+            }));
+        }
+        let zones: Vec<String> = (0..runs.zones).map(zone).collect();
+        let mut real = Vec::new();
+        for &number in &numbers {
+            let spec = &specs[number];
+            let dir = folder.path().join(&spec.name);
+            std::fs::create_dir_all(&dir).map_err(text)?;
+            let file = dir.join("cluster.toml");
+            let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+            let key: String = KEY.iter().map(|byte| format!("{byte:02x}")).collect();
+            let cluster = format!(
+                "name = \"scale\"\nlisten = \"{}\"\nseeds = [{}]\nkeys = [\"{key}\"]\nperiod_ms = {}\nsuspicion = {:?}\n",
+                spec.address,
+                quoted.join(", "),
+                runs.period_ms,
+                runs.suspicion
+            );
+            std::fs::write(&file, cluster).map_err(text)?;
+            let mut node_settings = settings_of(&zones)?;
+            node_settings["my_zone"] = json!(runs.zone_of(number));
+            let listen = at.wide(number, 9_000);
+            real.push(Rc::new(Node {
+                number,
+                program: program.to_owned(),
+                dir,
+                config: nodes::config(&spec.name, listen, list, node_settings).into(),
+                listen,
+                admin: [at.wide(number, 9_001), at.wide(number, 9_002)],
+                args: vec!["--cluster".to_owned(), file.display().to_string()],
+                history: history.clone(),
+                process: Default::default(),
+                started: Default::default(),
+                up: tokio::sync::watch::Sender::new(None),
+            }));
+        }
+        Ok(Fleet {
+            runs,
+            size,
+            specs,
+            network,
+            hollows,
+            real,
+            real_numbers: numbers.into_iter().collect(),
+            hollow_alive: BTreeSet::new(),
+            discovery,
+            rows: Vec::new(),
+            before,
+            _folder: folder,
+            _addresses: at,
+        })
+    }
+
+    async fn end(&mut self) {
+        for node in &self.real {
+            let process = node.process.take();
+            if let Some(process) = process {
+                process.kill().await;
+            }
+        }
+        self.discovery.iter().for_each(JoinHandle::abort);
+    }
+
+    fn add(&mut self, row: Option<Row>) {
+        self.rows.extend(row);
+    }
+
+    fn one(&mut self, phase: &str, figure: &str, value: f64) {
+        self.rows.push(Row::one(self.size.members as f64, phase, figure, value));
+    }
+
+    fn values(&mut self, phase: &str, figure: &str, values: &[f64]) {
+        let row = Row::of(self.size.members as f64, phase, figure, values);
+        self.add(row);
+    }
+
+    /// The longest that is waited for all to know something: well beyond the members' bound.
+    fn bound(&self) -> Duration {
+        let periods = 30.0 + 10.0 * (self.size.members as f64).log2();
+        Duration::from_secs_f64(periods * self.runs.period_s())
+    }
+
+    /// After this nobody tells of what all know: each rumor is told 3 log2(N) times, about twice a period.
+    fn settle(&self) -> Duration {
+        let periods = 3.0 * (self.size.members as f64).log2();
+        Duration::from_secs_f64(periods * self.runs.period_s())
+    }
+
+    async fn meter(&self) -> Meter {
+        let mut real = Vec::new();
+        for node in &self.real {
+            real.push(self.read(node).await);
+        }
+        Meter { at: self.network.now(), looks: self.hollows.meter().await, real }
+    }
+
+    async fn read(&self, node: &Node) -> Option<(Usage, BTreeMap<String, u64>)> {
+        let process = node.process.borrow().clone()?;
+        // First: answering costs processor time.
+        let used = usage(process.pid()).ok()?;
+        Some((used, counters(process.admin).await?))
+    }
+
+    /// What each node used from one moment to another.
+    fn costs(&mut self, phase: &str, from: &Meter, to: &Meter) {
+        let span = (to.at - from.at).as_secs_f64();
+        let (before, after) = (from.nodes(), to.nodes());
+        let both: Vec<(Look, Look)> = after
+            .iter()
+            .filter_map(|(number, now)| Some((*before.get(number)?, *now)))
+            .filter(|(then, now)| now.counts.figures.sent >= then.counts.figures.sent)
+            .collect();
+        let each = |of: &dyn Fn(&Look) -> u64| -> Vec<f64> {
+            both.iter().map(|(then, now)| of(now).saturating_sub(of(then)) as f64 / span).collect()
+        };
+        let out = each(&|look| look.counts.figures.sent_bytes + look.part[1]);
+        let into = each(&|look| look.came_bytes + look.part[3]);
+        let sent = each(&|look| look.counts.figures.sent + look.part[0]);
+        let came = each(&|look| look.came + look.part[2]);
+        let held: Vec<f64> = both
+            .iter()
+            .map(|(then, now)| (now.counts.figures.held_back - then.counts.figures.held_back) as f64)
+            .collect();
+        self.values(phase, "bytes out a node and second", &out);
+        self.values(phase, "bytes in a node and second", &into);
+        self.values(phase, "datagrams out a node and second", &sent);
+        self.values(phase, "datagrams in a node and second", &came);
+        self.values(phase, "datagrams held back a node", &held);
+        let peaks =
+            |of: fn(&Look) -> u64| -> Vec<f64> { after.values().map(|look| of(look) as f64).collect() };
+        self.values(phase, "bytes out in the busiest second", &peaks(|look| look.peak.0));
+        self.values(phase, "bytes in in the busiest second", &peaks(|look| look.peak.1));
+        let cpu = (to.cpu() - from.cpu()).as_secs_f64() / span / after.len().max(1) as f64;
+        self.one(phase, "processor time a hollow node (us/s)", cpu * 1e6);
+        let pairs: Vec<_> =
+            from.real.iter().zip(&to.real).filter_map(|(a, b)| Some((a.as_ref()?, b.as_ref()?))).collect();
+        let cpu: Vec<f64> = pairs
+            .iter()
+            .map(|(then, now)| now.0.cpu.saturating_sub(then.0.cpu).as_secs_f64() / span * 1e6)
+            .collect();
+        let bytes: Vec<f64> = pairs
+            .iter()
+            .map(|(then, now)| {
+                let of =
+                    |all: &BTreeMap<String, u64>| all.get("members_sent_bytes").copied().unwrap_or_default();
+                of(&now.1).saturating_sub(of(&then.1)) as f64 / span
+            })
+            .collect();
+        self.values(phase, "processor time a real node (us/s)", &cpu);
+        self.values(phase, "bytes out a real node and second", &bytes);
+    }
+
+    async fn play(&mut self) -> Result<(), String> {
+        self.start().await?;
+        let phase = "quiet";
+        // What the start itself was news of is told by then.
+        sleep(self.settle()).await;
+        let from = self.meter().await;
+        self.hollows.seen().await;
+        sleep(Duration::from_secs_f64(self.runs.quiet_s)).await;
+        let to = self.meter().await;
+        self.costs(phase, &from, &to);
+        let seen = self.hollows.seen().await;
+        let dead = seen.iter().filter(|seen| seen.what == What::Died).count();
+        self.one(phase, "held dead though well (pairs)", dead as f64);
+        self.memory(phase, &to);
+        if self.runs.news > 0 {
+            self.news().await;
+        }
+        if self.runs.deaths > 0 {
+            self.deaths().await;
+        }
+        if self.runs.zone {
+            self.zone().await;
+        }
+        if self.runs.parted_s > 0.0 {
+            self.parted().await;
+        }
+        Ok(())
+    }
+
+    /// All members start within a second, and know three of them.
+    async fn start(&mut self) -> Result<(), String> {
+        let phase = "start of all";
+        info!("{} members, {} of them real: start", self.size.members, self.size.real);
+        let from = self.meter().await;
+        let mut starts = JoinSet::new();
+        for node in &self.real {
+            let node = node.clone();
+            starts.spawn_local(async move { node.start().await });
+        }
+        let hollow: Vec<Spec> =
+            self.specs.iter().filter(|spec| !self.real_numbers.contains(&spec.number)).cloned().collect();
+        let pause = STARTS / u32::try_from(hollow.len()).unwrap_or(1).max(1);
+        let began = self.network.now();
+        for spec in hollow {
+            self.hollow_alive.insert(spec.number);
+            self.hollows.start(spec);
+            sleep(pause).await;
+        }
+        while let Some(started) = starts.join_next().await {
+            started.map_err(io::Error::other).flatten().map_err(|error| error.to_string())?;
+        }
+        let known = self.until_all_see(phase, began, self.size.members).await;
+        let to = self.meter().await;
+        // Nothing was counted before a node began: all that it sent counts.
+        let span = (to.at - began).as_secs_f64();
+        let sent: Vec<f64> =
+            to.nodes().values().map(|look| look.counts.figures.sent_bytes as f64 / span).collect();
+        self.values(phase, "bytes out a node and second", &sent);
+        let peaks: Vec<f64> = to.nodes().values().map(|look| look.peak.0 as f64).collect();
+        self.values(phase, "bytes out in the busiest second", &peaks);
+        let cpu = (to.cpu() - from.cpu()).as_secs_f64() / self.hollow_alive.len().max(1) as f64;
+        self.one(phase, "processor time a hollow node (us)", cpu * 1e6);
+        if !known {
+            warn!("{} members: not all found each other in time", self.size.members);
+        }
+        Ok(())
+    }
+
+    /// Waits until every node counts so many members; writes down when hollow and real ones did.
+    async fn until_all_see(&mut self, phase: &str, began: Micros, members: usize) -> bool {
+        let last = began + Micros(u64::try_from(self.bound().as_micros()).unwrap_or(u64::MAX));
+        let (mut hollow, mut real) = (None, vec![None; self.real.len()]);
+        loop {
+            let now = self.network.now();
+            let looks = self.hollows.look().await;
+            let counts: Vec<usize> =
+                looks.iter().flat_map(|l| &l.nodes).map(|l| l.counts.alive + l.counts.suspect).collect();
+            if counts.len() == self.hollow_alive.len() && counts.iter().all(|&count| count == members) {
+                hollow.get_or_insert(now);
+            }
+            self.ask_real(&mut real, members).await;
+            let all_real = real.iter().all(Option::is_some);
+            let over = now > last;
+            if over || hollow.is_some() && all_real {
+                let after = |at: Micros| (at - began).as_secs_f64();
+                match hollow {
+                    Some(at) => self.one(phase, "all hollow nodes see all after (s)", after(at)),
+                    None => {
+                        let not = counts.iter().filter(|&&count| count != members).count();
+                        self.one(phase, "hollow nodes that did not see all in time", not as f64);
+                    }
+                }
+                self.real_after(phase, "a real node sees all after (s)", began, &real);
+                return hollow.is_some() && all_real;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Notes the time of each real node that counts so many members for the first time.
+    async fn ask_real(&self, known: &mut [Option<Micros>], members: usize) {
+        for (node, known) in self.real.iter().zip(known).filter(|(_, known)| known.is_none()) {
+            let Some(admin) = node.process.borrow().as_ref().map(|process| process.admin) else { continue };
+            let Some(figures) = counters(admin).await else { continue };
+            let of = |name: &str| figures.get(name).copied().unwrap_or_default();
+            if of("members_alive") + of("members_suspect") == members as u64 {
+                *known = Some(self.network.now());
+            }
+        }
+    }
+
+    fn real_after(&mut self, phase: &str, figure: &str, began: Micros, known: &[Option<Micros>]) {
+        let after: Vec<f64> = known.iter().flatten().map(|at| (*at - began).as_secs_f64()).collect();
+        self.values(phase, figure, &after);
+        if !known.is_empty() {
+            self.one(phase, "real nodes that did not know in time", (known.len() - after.len()) as f64);
+        }
+    }
+
+    fn memory(&mut self, phase: &str, meter: &Meter) {
+        let own = own_resident().saturating_sub(self.before) as f64;
+        self.one(phase, "memory a hollow node (KB)", own / self.hollow_alive.len().max(1) as f64 / 1e3);
+        let real: Vec<f64> =
+            meter.real.iter().flatten().map(|(used, _)| used.resident as f64 / 1e3).collect();
+        self.values(phase, "memory a real node (KB)", &real);
+    }
+
+    /// Waits until each of these learned each of those, and returns when: the last time for each of those.
+    async fn until_learned(
+        &mut self,
+        phase: &str,
+        by: &BTreeSet<usize>,
+        of: &BTreeMap<usize, (What, Micros)>,
+        real: Option<usize>,
+    ) -> (Vec<Seen>, Vec<Option<Micros>>) {
+        let began = of.values().map(|(_, at)| *at).fold(Micros(0), Micros::max);
+        let last = began + Micros(u64::try_from(self.bound().as_micros()).unwrap_or(u64::MAX));
+        let mut wanted: BTreeSet<(usize, usize)> = of
+            .keys()
+            .flat_map(|of| by.iter().map(move |by| (*by, *of)))
+            .filter(|(by, of)| by != of)
+            .collect();
+        let mut learned = Vec::new();
+        let mut real_known = vec![None; if real.is_some() { self.real.len() } else { 0 }];
+        loop {
+            for seen in self.hollows.seen().await {
+                let about = of.get(&seen.of).is_some_and(|(what, at)| *what == seen.what && *at <= seen.at);
+                if about && wanted.remove(&(seen.by, seen.of)) || seen.what == What::Suspected {
+                    learned.push(seen);
+                }
+            }
+            if let Some(members) = real {
+                self.ask_real(&mut real_known, members).await;
+            }
+            let now = self.network.now();
+            if wanted.is_empty() && real_known.iter().all(Option::is_some) || now > last {
+                self.one(phase, "pairs not known in time", wanted.len() as f64);
+                return (learned, real_known);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// How long each piece took to half of the nodes, and to all.
+    fn spread(&mut self, phase: &str, of: &BTreeMap<usize, (What, Micros)>, learned: &[Seen]) {
+        let (mut half, mut all, mut first) = (Vec::new(), Vec::new(), Vec::new());
+        for (node, (what, began)) in of {
+            let about = |seen: &&Seen| seen.of == *node && *began <= seen.at;
+            let mut times: Vec<f64> = (learned.iter().filter(about))
+                .filter(|seen| seen.what == *what)
+                .map(|seen| (seen.at - *began).as_secs_f64())
+                .collect();
+            times.sort_by(f64::total_cmp);
+            half.extend(times.get(times.len() / 2));
+            all.extend(times.last());
+            let suspected = learned.iter().filter(about).filter(|seen| seen.what == What::Suspected);
+            if *what == What::Died {
+                first.extend(suspected.map(|seen| (seen.at - *began).as_secs_f64()).reduce(f64::min));
+            }
+        }
+        self.values(phase, "first suspected after (s)", &first);
+        self.values(phase, "half know after (s)", &half);
+        self.values(phase, "all know after (s)", &all);
+        let periods: Vec<f64> = all.iter().map(|s| s / self.runs.period_s()).collect();
+        self.values(phase, "all know after (periods)", &periods);
+    }
+
+    /// Hollow nodes that are neither control machines nor of the zone that is lost.
+    fn ordinary(&self, count: usize) -> Vec<usize> {
+        let able = self.hollow_alive.iter().rev().copied().filter(|number| self.runs.is_ordinary(*number));
+        able.take(count).collect()
+    }
+
+    /// News of the members' own: another digest of the settings, as after a file was taken in.
+    async fn news(&mut self) {
+        let phase = "news";
+        info!("{} members: {} pieces of news", self.size.members, self.runs.news);
+        self.hollows.seen().await;
+        let (mut told, mut of) = (Vec::new(), BTreeMap::new());
+        let from = self.meter().await;
+        for node in self.ordinary(self.runs.news) {
+            let digest = 1_000 + node as u64;
+            told.push(node);
+            of.insert(node, (What::News(digest), self.network.now()));
+            self.hollows.news(node, digest).await;
+            sleep(APART).await;
+        }
+        let by = self.hollow_alive.clone();
+        let (learned, _) = self.until_learned(phase, &by, &of, None).await;
+        let to = self.meter().await;
+        self.spread(phase, &of, &learned);
+        self.costs(phase, &from, &to);
+    }
+
+    async fn deaths(&mut self) {
+        info!("{} members: {} deaths", self.size.members, self.runs.deaths);
+        self.hollows.seen().await;
+        let mut of = BTreeMap::new();
+        let from = self.meter().await;
+        for node in self.ordinary(self.runs.deaths) {
+            of.insert(node, (What::Died, self.network.now()));
+            self.hollows.kill(node);
+            self.hollow_alive.remove(&node);
+            sleep(APART).await;
+        }
+        self.lost_and_back("death", "start", of, from).await;
+    }
+
+    async fn zone(&mut self) {
+        let last = self.runs.zones - 1;
+        let lost: Vec<usize> =
+            self.hollow_alive.iter().filter(|n| self.runs.zone_of(**n) == last).copied().collect();
+        info!("{} members: a zone of {} is lost", self.size.members, lost.len());
+        self.hollows.seen().await;
+        let from = self.meter().await;
+        let at = self.network.now();
+        let mut of = BTreeMap::new();
+        for node in lost {
+            of.insert(node, (What::Died, at));
+            self.hollows.kill(node);
+            self.hollow_alive.remove(&node);
+        }
+        self.lost_and_back("zone lost", "zone back", of, from).await;
+    }
+
+    /// Until all know that these are gone, and then that they are back.
+    async fn lost_and_back(
+        &mut self,
+        lost: &str,
+        back: &str,
+        of: BTreeMap<usize, (What, Micros)>,
+        from: Meter,
+    ) {
+        let (by, rest) = (self.hollow_alive.clone(), self.size.members - of.len());
+        let began = of.values().map(|(_, at)| *at).fold(Micros(0), Micros::max);
+        let (learned, real) = self.until_learned(lost, &by, &of, Some(rest)).await;
+        let to = self.meter().await;
+        self.spread(lost, &of, &learned);
+        self.real_after(lost, "a real node counts right after (s)", began, &real);
+        self.costs(lost, &from, &to);
+        let at = self.network.now();
+        let joined: BTreeMap<usize, (What, Micros)> =
+            of.keys().map(|node| (*node, (What::Joined, at))).collect();
+        for node in of.keys() {
+            self.hollows.start(self.specs[*node].clone());
+        }
+        let (learned, real) = self.until_learned(back, &by, &joined, Some(self.size.members)).await;
+        self.hollow_alive.extend(of.keys());
+        self.spread(back, &joined, &learned);
+        self.real_after(back, "a real node counts right after (s)", at, &real);
+        let after = self.meter().await;
+        self.costs(back, &to, &after);
+        self.until_all_see(back, at, self.size.members).await;
+    }
+
+    async fn parted(&mut self) {
+        let phase = "regions parted";
+        info!("{} members: regions parted for {} s", self.size.members, self.runs.parted_s);
+        self.hollows.seen().await;
+        let from = self.meter().await;
+        let at = self.network.now();
+        self.network.part(true);
+        sleep(Duration::from_secs_f64(self.runs.parted_s)).await;
+        let seen = self.hollows.seen().await;
+        let mut last: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+        for seen in seen.iter().filter(|seen| seen.what == What::Died) {
+            if self.runs.region_of(seen.by) != self.runs.region_of(seen.of) {
+                last.insert((seen.by, seen.of), (seen.at - at).as_secs_f64());
+            }
+        }
+        let own = |region| self.hollow_alive.iter().filter(|n| self.runs.region_of(**n) == region).count();
+        let all = |region| (0..self.size.members).filter(|n| self.runs.region_of(*n) == region).count();
+        let pairs = own(0) * all(1) + own(1) * all(0);
+        let spans: Vec<f64> = last.values().copied().collect();
+        let wrong = seen.iter().filter(|seen| seen.what == What::Died);
+        let wrong = wrong.filter(|s| self.runs.region_of(s.by) == self.runs.region_of(s.of)).count();
+        self.values(phase, "one of the other side is held dead after (s)", &spans);
+        self.one(phase, "pairs that still held each other alive", pairs.saturating_sub(spans.len()) as f64);
+        self.one(phase, "held dead though well on the same side (pairs)", wrong as f64);
+        let to = self.meter().await;
+        self.costs(phase, &from, &to);
+        let phase = "regions joined";
+        let at = self.network.now();
+        self.network.part(false);
+        self.until_all_see(phase, at, self.size.members).await;
+        let after = self.meter().await;
+        self.costs(phase, &to, &after);
+    }
+}
+
+/// Memory of this process's own, bytes; 0 where the system does not tell.
+fn own_resident() -> u64 {
+    let pid = i32::try_from(std::process::id()).unwrap_or_default();
+    usage(pid).map_or(0, |used| used.resident)
+}
+
+/// The settings that real nodes have: those of the lab's schedules.
+pub(crate) fn settings_of(zones: &[String]) -> Result<serde_json::Value, String> {
+    let zones: Vec<String> = zones.iter().map(|zone| format!("{zone:?}")).collect();
+    let text = format!(
+        "title = \"measure\"\nlength_s = 1.0\n[nodes]\ncount = 1\nzones = [{}]\n[hosts]\ncount = 1\n\
+         [[clients]]\nclass = \"chat\"\nsemantics = \"retryable\"\ncount = 1\n",
+        zones.join(", ")
+    );
+    Ok(settings(&Plan::parse("measure", &text, None).map_err(|error| error.to_string())?))
+}
+
+/// No node has a further core.
+pub fn no_parts() -> MakePart {
+    Arc::new(|_| None)
+}
