--- a/crates/alderstile-lab/src/lib.rs
+++ b/crates/alderstile-lab/src/lib.rs
@@ -4,7 +4,7 @@
 //! history ([`history`]), which is the only thing that the checkers ([`check`]) read.
 //!
 //! What things cost at a size is measured by [`scale`] (hollow nodes, [`hollow`], beside real ones) and [`measure`] (one real node with
-//! its clients and hosts); [`tables`], [`fit`] and [`charts`] keep what came of it.
+//! its clients and hosts); [`tables`], [`slopes`], [`fit`] and [`charts`] keep what came of it.
 
 pub mod charts;
 pub mod check;
@@ -19,4 +19,5 @@
 pub mod real;
 pub mod scale;
 pub mod schedule;
+pub mod slopes;
 pub mod tables;
--- a/crates/alderstile-lab/src/main.rs
+++ b/crates/alderstile-lab/src/main.rs
@@ -9,10 +9,11 @@
 use alderstile_lab::compare::{Figure, Row, compare};
 use alderstile_lab::emulated::{self, Choice, Sums, Traffic};
 use alderstile_lab::history::{self, History};
+use alderstile_lab::measure::{self, Sizes};
 use alderstile_lab::processes::{self, Options};
 use alderstile_lab::scale::{self, Runs};
 use alderstile_lab::schedule::Plan;
-use alderstile_lab::tables;
+use alderstile_lab::{slopes, tables};
 use clap::{Parser, Subcommand, ValueEnum};
 use tracing::error;
 use tracing_subscriber::EnvFilter;
@@ -102,6 +103,32 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Measure one real node at several sizes: idle connections, lines, placements, lists, a return of all clients
+    ///
+    /// Ends with 0, or 2 where something could not be measured; what was measured until then stays.
+    Measure {
+        /// A run of seconds, for a look
+        #[arg(long)]
+        short: bool,
+        /// Where tables are left
+        #[arg(long, default_value = "lab-out")]
+        out: PathBuf,
+        /// The name of the tables
+        #[arg(long, default_value = "node")]
+        name: String,
+        /// The node's program; without, the one beside this program
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Draw lines through measured tables: their slopes as a table, and charts
+    Slopes {
+        /// Tables of scale and measure, CSV files
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Where slopes.md and the charts are left
+        #[arg(long, default_value = "lab-out")]
+        out: PathBuf,
+    },
     /// Check a history again
     Check {
         /// The history, a file of JSON lines
@@ -188,6 +215,32 @@
             print!("{}", tables::markdown(&rows));
             if rows.is_empty() { Err("no size was measured".to_owned()) } else { Ok(true) }
         }
+        Command::Measure { short, out, name, program } => {
+            let program =
+                program.map_or_else(processes::program_beside, Ok).map_err(|error| error.to_string())?;
+            let sizes = if short { Sizes::short() } else { Sizes::usual() };
+            let mut rows = Vec::new();
+            let mut written = Ok(());
+            let done = measure::run(&sizes, &program, |more| {
+                rows.extend_from_slice(more);
+                written = tables::write(&out, &name, &rows);
+            });
+            print!("{}", tables::markdown(&rows));
+            done.and(written.map_err(|error| format!("{}: {error}", out.display()))).map(|()| true)
+        }
+        Command::Slopes { files, out } => {
+            let mut rows = Vec::new();
+            for file in &files {
+                rows.extend(tables::read(file)?);
+            }
+            let failed = |error| format!("{}: {error}", out.display());
+            std::fs::create_dir_all(&out).map_err(failed)?;
+            slopes::charts(&out, &rows)?;
+            let table = slopes::table(&rows);
+            std::fs::write(out.join("slopes.md"), &table).map_err(failed)?;
+            print!("{table}");
+            Ok(true)
+        }
         Command::Check { file } => checked(&file),
         Command::List { folder } => list(&folder).map(|()| true),
     }
--- a/crates/alderstile-lab/src/tables.rs
+++ b/crates/alderstile-lab/src/tables.rs
@@ -117,7 +117,7 @@
 }
 
 /// Four digits are more than any of these is sure of.
-fn short(value: f64) -> String {
+pub(crate) fn short(value: f64) -> String {
     if value == 0.0 || !value.is_finite() {
         return value.to_string();
     }
