--- a/crates/alderstile-lab/src/measure.rs
+++ b/crates/alderstile-lab/src/measure.rs
@@ -69,7 +69,7 @@
     /// Those of the tables in `docs/experiments`.
     pub fn usual() -> Self {
         Sizes {
-            connections: vec![100, 1_000, 3_000, 5_000, 9_900],
+            connections: vec![0, 100, 1_000, 3_000, 5_000, 9_900],
             idle: Duration::from_secs(20),
             listeners: vec![1, 100, 500, 1_000, 2_000, 5_000],
             lines: 20,
