--- a/crates/alderstile-lab/src/hollow/mod.rs
+++ b/crates/alderstile-lab/src/hollow/mod.rs
@@ -124,6 +124,25 @@
     pub seed: u64,
     /// Makes each node's further core.
     pub parts: MakePart,
+    /// Nodes that each knows when it starts for the first time, with no news of them left to tell; none for nodes that
+    /// know their seeds alone.
+    pub known: Arc<Vec<Spec>>,
+}
+
+impl Setup {
+    /// What a node tells of itself at its start of this number, from 1 on.
+    fn record(&self, spec: &Spec, start: u64) -> Record {
+        let text = format!("{} {} {} {start}", self.seed, spec.name, spec.address);
+        Record {
+            session: Session(alderstile_cluster::digest(text.as_bytes()).max(1)),
+            incarnation: 1,
+            name: spec.name.as_str().into(),
+            zone: spec.zone.as_str().into(),
+            address: spec.address,
+            digest: 0,
+            facts: [].into(),
+        }
+    }
 }
 
 /// What a node has learned.
@@ -283,7 +302,8 @@
 struct Worker {
     setup: Setup,
     nodes: RefCell<BTreeMap<usize, Running>>,
-    starts: Cell<u64>,
+    /// How often each node was started.
+    starts: RefCell<BTreeMap<usize, u64>>,
     seen: RefCell<Vec<Seen>>,
     watched: RefCell<Vec<(Session, u64)>>,
 }
@@ -331,7 +351,7 @@
         Worker {
             setup,
             nodes: RefCell::default(),
-            starts: Cell::new(0),
+            starts: RefCell::default(),
             seen: RefCell::default(),
             watched: RefCell::default(),
         }
@@ -364,23 +384,23 @@
     }
 
     async fn start(self: &Rc<Self>, spec: Spec) -> io::Result<()> {
-        let Setup { settings, seal, seeds, network, seed, parts } = &self.setup;
-        self.starts.set(self.starts.get() + 1);
-        let drawn = alderstile_cluster::digest(
-            format!("{seed} {} {} {}", spec.name, spec.address, self.starts.get()).as_bytes(),
-        );
-        let me = Record {
-            session: Session(drawn.max(1)),
-            incarnation: 1,
-            name: spec.name.as_str().into(),
-            zone: spec.zone.as_str().into(),
-            address: spec.address,
-            digest: 0,
-            facts: [].into(),
+        let setup = &self.setup;
+        let start = {
+            let mut starts = self.starts.borrow_mut();
+            let start = starts.entry(spec.number).or_default();
+            *start += 1;
+            *start
         };
+        let me = setup.record(&spec, start);
         me.check().map_err(io::Error::other)?;
         let socket = UdpSocket::bind(spec.address).await?;
-        let members = Members::new(*settings, seal.clone(), me, seeds.clone(), seed ^ drawn, network.now());
+        let (seeds, seed) = (setup.seeds.clone(), setup.seed ^ me.session.0);
+        let mut members =
+            Members::new(setup.settings, setup.seal.clone(), me, seeds, seed, setup.network.now());
+        if start == 1 {
+            let others = setup.known.iter().filter(|other| other.number != spec.number);
+            members = members.knowing(others.map(|other| setup.record(other, 1)));
+        }
         let hollow = Rc::new(Hollow {
             number: spec.number,
             address: spec.address,
@@ -390,7 +410,7 @@
             known: RefCell::default(),
         });
         let mut tasks = vec![spawn_local(self.clone().run(hollow.clone(), socket))];
-        if let Some(part) = parts(&spec) {
+        if let Some(part) = (setup.parts)(&spec) {
             let socket = UdpSocket::bind(part.address()).await?;
             tasks.push(spawn_local(self.clone().run_part(hollow.clone(), part, socket)));
         }
--- a/crates/alderstile-lab/src/scale.rs
+++ b/crates/alderstile-lab/src/scale.rs
@@ -32,6 +32,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// All hollow nodes start within this.
 const STARTS: Duration = Duration::from_secs(1);
+/// An operator's call is given up after this.
+const CALL: Duration = Duration::from_secs(10);
 /// Between two deaths, and between two pieces of news.
 const APART: Duration = Duration::from_secs(2);
 /// Most members of a run, and most real processes among them.
@@ -72,6 +74,9 @@
     pub suspicion: f64,
     /// Threads that share the hollow nodes.
     pub threads: usize,
+    /// Whether hollow nodes know each other when they start; without, all know three seeds.
+    #[serde(default)]
+    pub know_all: bool,
     /// How long nothing happens while costs are measured.
     pub quiet_s: f64,
     /// Members that die and come back, one after the other.
@@ -216,6 +221,8 @@
     discovery: Vec<JoinHandle<()>>,
     rows: Vec<Row>,
     before: u64,
+    /// Bytes out a node and second while nothing happens.
+    quiet: f64,
     _folder: Folder,
     _addresses: Addresses,
 }
@@ -237,6 +244,18 @@
     }
 }
 
+/// Bytes that all hollow nodes sent in a second, in the mean of them.
+fn sent(from: &Meter, to: &Meter) -> f64 {
+    let before = from.nodes();
+    let spans: Vec<f64> = (to.nodes().iter())
+        .filter_map(|(number, now)| {
+            let then = before.get(number)?;
+            Some(now.counts.figures.sent_bytes.saturating_sub(then.counts.figures.sent_bytes) as f64)
+        })
+        .collect();
+    spans.iter().sum::<f64>() / spans.len().max(1) as f64 / (to.at - from.at).as_secs_f64()
+}
+
 impl<'a> Fleet<'a> {
     async fn build(runs: &'a Runs, size: Size, program: &Path, parts: &MakePart) -> Result<Self, String> {
         let text = |error: io::Error| error.to_string();
@@ -256,7 +275,11 @@
         settings.suspicion = runs.suspicion;
         let seal = Seal::new("scale", &[KEY.to_vec()]).ok_or("no key")?;
         let seeds: Vec<SocketAddr> = specs.iter().take(3).map(|spec| spec.address).collect();
+        let numbers: Vec<usize> =
+            (0..size.members).filter(|&number| runs.may_be_real(number)).take(size.real).collect();
+        let known = specs.iter().filter(|spec| runs.know_all && !numbers.contains(&spec.number));
         let setup = Setup {
+            known: Arc::new(known.cloned().collect()),
             settings,
             seal,
             seeds: seeds.clone(),
@@ -267,8 +290,6 @@
         let before = own_resident();
         let hollows = Hollows::new(runs.threads, &setup).map_err(text)?;
         let history = Rc::new(History::unread());
-        let numbers: Vec<usize> =
-            (0..size.members).filter(|&number| runs.may_be_real(number)).take(size.real).collect();
         let list = at.wide(0, 8_500);
         let entry = Entry { health: "up", zone: zone(0), born_ms: 0 };
         let host = at.wide(0, 9_009);
@@ -327,6 +348,7 @@
             discovery,
             rows: Vec::new(),
             before,
+            quiet: 0.0,
             _folder: folder,
             _addresses: at,
         })
@@ -441,10 +463,12 @@
         sleep(Duration::from_secs_f64(self.runs.quiet_s)).await;
         let to = self.meter().await;
         self.costs(phase, &from, &to);
+        self.quiet = sent(&from, &to);
         let seen = self.hollows.seen().await;
         let dead = seen.iter().filter(|seen| seen.what == What::Died).count();
         self.one(phase, "held dead though well (pairs)", dead as f64);
         self.memory(phase, &to);
+        self.operators(phase).await;
         if self.runs.news > 0 {
             self.news().await;
         }
@@ -452,9 +476,11 @@
             self.deaths().await;
         }
         if self.runs.zone {
+            self.told_out("start").await;
             self.zone().await;
         }
         if self.runs.parted_s > 0.0 {
+            self.told_out("zone back").await;
             self.parted().await;
         }
         Ok(())
@@ -558,6 +584,41 @@
         self.values(phase, "memory a real node (KB)", &real);
     }
 
+    /// Waits until nodes send little more than in the quiet time: what happened before is told no more. Not for ever: a
+    /// period for each member is enough where each sends some of the news of all.
+    async fn told_out(&mut self, phase: &str) {
+        let began = self.network.now();
+        let last =
+            Duration::from_secs_f64(self.size.members as f64 * self.runs.period_s()).max(self.settle());
+        loop {
+            let from = self.meter().await;
+            sleep(Duration::from_secs_f64(5.0 * self.runs.period_s())).await;
+            let now = sent(&from, &self.meter().await);
+            let after = (self.network.now() - began).as_secs_f64();
+            if now < 1.3 * self.quiet {
+                return self.one(phase, "told out after (s)", after);
+            }
+            if after > last.as_secs_f64() {
+                return self.one(phase, "not told out after (s)", after);
+            }
+        }
+    }
+
+    /// What an operator's call for all members brings.
+    async fn operators(&mut self, phase: &str) {
+        let (mut bytes, mut spans) = (Vec::new(), Vec::new());
+        for node in &self.real {
+            let Some(admin) = node.process.borrow().as_ref().map(|process| process.admin) else { continue };
+            let from = self.network.now();
+            if let Ok(Ok((200, view))) = timeout(CALL, nodes::call(admin, "/members")).await {
+                bytes.push(view.len() as f64 / 1e3);
+                spans.push((self.network.now() - from).as_secs_f64() * 1e3);
+            }
+        }
+        self.values(phase, "view for operators (KB)", &bytes);
+        self.values(phase, "view for operators after (ms)", &spans);
+    }
+
     /// Waits until each of these learned each of those, and returns when: the last time for each of those.
     async fn until_learned(
         &mut self,
--- a/crates/alderstile-lab/src/slopes.rs
+++ b/crates/alderstile-lab/src/slopes.rs
@@ -98,6 +98,15 @@
         ],
         limit: None,
     },
+    Plot {
+        file: "operators-view",
+        title: "All members as an operator fetches them from a real node",
+        over: Over::Size,
+        x: "members",
+        y: "KB",
+        lines: &[("the answer", "quiet", "view for operators (KB)")],
+        limit: None,
+    },
     Plot {
         file: "node-memory",
         title: "Memory of a node with idle connections",
--- a/crates/alderstile-lab/tests/scale.rs
+++ b/crates/alderstile-lab/tests/scale.rs
@@ -40,6 +40,7 @@
 #[test]
 fn hollow_and_real_nodes_see_each_other_through_deaths_a_lost_zone_and_parted_regions() {
     let runs = Runs::parse("test", SMALL).expect("a fine file");
+    assert!(!runs.know_all, "each finds all others");
     let mut rows = Vec::new();
     scale::run(&runs, &node(), &scale::no_parts(), |_, more| rows.extend_from_slice(more)).expect("a run");
     let of = |phase: &str, figure: &str| {
@@ -151,6 +152,7 @@
         seeds: vec![at(0, 7_946)],
         network: network.clone(),
         seed: 1,
+        known: Arc::default(),
         parts: Arc::new(move |spec: &Spec| {
             let (at, to) = (at(spec.number, 7_947), at(1 - spec.number, 7_947));
             Some(Box::new(Sends { at, to, due: Micros(0), came: counted.clone() }))
