--- a/crates/alderstile-lab/src/scale.rs
+++ b/crates/alderstile-lab/src/scale.rs
@@ -32,6 +32,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// All hollow nodes start within this.
 const STARTS: Duration = Duration::from_secs(1);
+/// Nothing is given up before this.
+const LEAST_BOUND: Duration = Duration::from_secs(20);
+/// What happened before is waited for no longer than these periods.
+const MOST_TOLD: f64 = 120.0;
 /// An operator's call is given up after this.
 const CALL: Duration = Duration::from_secs(10);
 /// Between two deaths, and between two pieces of news.
@@ -380,7 +384,8 @@
     /// The longest that is waited for all to know something: well beyond the members' bound.
     fn bound(&self) -> Duration {
         let periods = 30.0 + 10.0 * (self.size.members as f64).log2();
-        Duration::from_secs_f64(periods * self.runs.period_s())
+        // Short periods on a busy machine: late is not never.
+        Duration::from_secs_f64(periods * self.runs.period_s()).max(LEAST_BOUND)
     }
 
     /// After this nobody tells of what all know: each rumor is told 3 log2(N) times, about twice a period.
@@ -584,12 +589,10 @@
         self.values(phase, "memory a real node (KB)", &real);
     }
 
-    /// Waits until nodes send little more than in the quiet time: what happened before is told no more. Not for ever: a
-    /// period for each member is enough where each sends some of the news of all.
+    /// Waits until nodes send little more than in the quiet time: what happened before is told no more. Not for ever.
     async fn told_out(&mut self, phase: &str) {
         let began = self.network.now();
-        let last =
-            Duration::from_secs_f64(self.size.members as f64 * self.runs.period_s()).max(self.settle());
+        let last = Duration::from_secs_f64(MOST_TOLD * self.runs.period_s());
         loop {
             let from = self.meter().await;
             sleep(Duration::from_secs_f64(5.0 * self.runs.period_s())).await;
--- a/crates/alderstile-lab/src/slopes.rs
+++ b/crates/alderstile-lab/src/slopes.rs
@@ -172,7 +172,7 @@
         y: "us",
         lines: &[
             ("processor time", "placement", "processor time each (us)"),
-            ("answered after", "placement", "answered after, median (us)"),
+            ("answered after", "placement", "median answered after (us)"),
         ],
         limit: None,
     },
--- a/crates/alderstile-lab/src/tables.rs
+++ b/crates/alderstile-lab/src/tables.rs
@@ -46,11 +46,12 @@
 /// The first line of a CSV file.
 const HEAD: &str = "size,phase,figure,mean,worst,of";
 
-/// The rows as CSV. No text in them has a comma.
+/// The rows as CSV. A comma in a text becomes a semicolon: a row has as many commas as the first line.
 pub fn csv(rows: &[Row]) -> String {
     let mut text = format!("{HEAD}\n");
     for row in rows {
         let Row { size, phase, figure, mean, worst, of } = row;
+        let [phase, figure] = [phase, figure].map(|text| text.replace(',', ";"));
         // Writing to a String does not fail.
         let _ = writeln!(text, "{size},{phase},{figure},{},{},{of}", short(*mean), short(*worst));
     }
