--- a/crates/alderstile-lab/src/slopes.rs
+++ b/crates/alderstile-lab/src/slopes.rs
@@ -58,6 +58,20 @@
         ],
         limit: Some(3_000.0),
     },
+    Plot {
+        file: "members-busiest",
+        title: "Bytes that a member sends in its busiest second (T = 1 s), mean of members",
+        over: Over::Size,
+        x: "members",
+        y: "bytes",
+        lines: &[
+            ("quiet", "quiet", "bytes out in the busiest second"),
+            ("deaths", "death", "bytes out in the busiest second"),
+            ("zone lost", "zone lost", "bytes out in the busiest second"),
+            ("zone back", "zone back", "bytes out in the busiest second"),
+        ],
+        limit: Some(3_000.0),
+    },
     Plot {
         file: "members-spread",
         title: "Time until all members know (T = 1 s)",
