Time-outs stop where much goes unanswered; speeds are believed beside what the own zone draws

A slow store: attempts that are given up go to the end of its queue, one after the other, so that hardly any two are out and the count of those out (Little's law) tells nothing. Test: a slow store, seen to fail without the code; the second has none of its own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -71,6 +71,8 @@
 const RETRY_EARN: f64 = 0.2;
 /// Further attempts that may be saved up.
 const RETRY_CAP: f64 = 10.0;
+/// Above this running share of attempts that ran into their time-out, no further ones have one.
+const UNANSWERED: f64 = 0.15;
 /// An attempt may take this many usual set-ups, the set-up aim at least.
 const UNUSUAL: f64 = 4.0;
 /// Where crossing zones is charged for, a server in the own zone draws so much more than one in another.
@@ -185,6 +187,8 @@
     /// What warm servers usually held of late, as [`Policy::held`].
     usual_held: Mean,
     /// Requests taken a second, usually, and in this period so far; attempts that are out.
+    /// The share of set-ups that ran into their time-out.
+    unanswered: Mean,
     usual_taken: Mean,
     taken: u32,
     trying: u32,
@@ -225,6 +229,7 @@
             held_load: vec![(0.0, 0); classes],
             usual_setup_ms: Mean::default(),
             usual_held: Mean::default(),
+            unanswered: Mean::default(),
             usual_taken: Mean::default(),
             taken: 0,
             trying: 0,
@@ -477,10 +482,14 @@
 
     /// What a server is believed to be able to do, beside others: its listed size and its believed speed.
     fn power(&self, s: usize) -> f64 {
-        // Guards against a way between zones that is slow, cut or charged for.
+        self.draw(s) * (1.0 - self.servers[s].slowness)
+    }
+
+    /// What a server draws beside others that are as fast: by its listed size, and more in the own zone, which
+    /// guards against a way between zones that is slow, cut or charged for.
+    fn draw(&self, s: usize) -> f64 {
         let own = self.set.prices.cross_zone > 0.0 && self.servers[s].entry.zone == self.set.zone;
-        let near = if own { NEAR } else { 1.0 };
-        self.size(s) * (1.0 - self.servers[s].slowness) * near
+        self.size(s) * if own { NEAR } else { 1.0 }
     }
 
     /// The usual load of a class.
@@ -650,9 +659,10 @@
     fn attempt_timeout(&self, now: Micros, conn: &Conn) -> Option<Micros> {
         let usual = Micros((self.usual_setup_ms.0? * 1_000.0 * UNUSUAL) as u64);
         let wait = conn.class.as_ref()?.aim.max(usual);
-        // Where more is out than the requests of such a wait (Little's law), all take long: clients that come
-        // back together would be sent again and again.
-        if f64::from(self.trying) > 2.0 + self.usual_taken.0.unwrap_or(0.0) * wait.as_secs_f64() {
+        // Where more is out than the requests of such a wait (Little's law), or much goes unanswered, all take
+        // long: clients that come back together, or wait for a slow store, would be sent again and again.
+        let much = f64::from(self.trying) > 2.0 + self.usual_taken.0.unwrap_or(0.0) * wait.as_secs_f64();
+        if much || self.unanswered.0.is_some_and(|share| share > UNANSWERED) {
             return None;
         }
         (now + wait.scale(2.0) <= conn.deadline).then_some(wait)
@@ -861,6 +871,7 @@
         let usual = self.usual_setup_ms.0.unwrap_or(took);
         // A slow server must not pass for usual, but where all are slow that is the usual soon.
         self.usual_setup_ms.add(took.min(2.0 * usual));
+        self.unanswered.add(0.0);
         if !self.set.tells_delay {
             self.setup_took(now, s, took - usual, out);
         }
@@ -895,6 +906,7 @@
         if let Some(s) = conn.stage.server() {
             self.judge(now, s, &conn, outcome, out);
             if outcome == Outcome::Timeout && conn.timed {
+                self.unanswered.add(1.0);
                 // Guards against a fleet that is slow as a whole, where time-outs would add to its work.
                 let took = (now - conn.sent).as_secs_f64() * 1e3;
                 self.usual_setup_ms.add(self.usual_setup_ms.0.map_or(took, |usual| took.min(2.0 * usual)));
@@ -1022,7 +1034,7 @@
     /// It manages that much of this node's load, and has to be believed so for a while.
     fn overloaded(&mut self, s: usize, manages: f64, mean: f64) {
         // An empty one may take one connection, or it would never be let out again.
-        let (usual, size) = (self.usual(), self.size(s));
+        let (usual, size) = (self.usual(), self.draw(s));
         let server = &mut self.servers[s];
         server.limit = Some(server.limit.map_or(manages, |limit| limit.min(manages)).max(usual));
         if mean > 0.0 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1528,6 +1528,26 @@
     assert_eq!(time_out(&node), Some(None), "so much is out that all take long");
 }
 
+#[test]
+fn where_much_goes_unanswered_attempts_get_their_time() {
+    // Found at bogota-central, whose store of sessions is slow on one day: attempts that were given up went to the end of its queue.
+    let mut node = Node::new(settings(), 8);
+    node.fill(1, 30);
+    let mut given_up = 0;
+    for id in 100..140 {
+        node.ask(request(id));
+        while let Some(Action::Send(_, _, Some(_))) = node.last.last() {
+            given_up += 1;
+            node.pass(ms(300));
+            node.end(id, Outcome::Timeout);
+        }
+        // What has its time comes up in the end.
+        node.pass(ms(800));
+        node.establish_after(id, ms(800));
+    }
+    assert!((1..=10).contains(&given_up), "{given_up} of 40 were given up");
+}
+
 #[test]
 fn a_fleet_that_is_slow_as_a_whole_is_given_its_time() {
     let mut node = Node::new(settings(), 2);
