--- a/src/policy.rs
+++ b/src/policy.rs
@@ -485,8 +485,8 @@
         self.draw(s) * (1.0 - self.servers[s].slowness)
     }
 
-    /// What a server draws beside others that are as fast: by its listed size, and more in the own zone. Guards
-    /// against a way between zones that is slow, cut or charged for.
+    /// What a server draws beside others that are as fast: by its listed size, and more in the own zone.
+    /// Guards against a way between zones that is slow, cut or charged for.
     fn draw(&self, s: usize) -> f64 {
         let own = self.set.prices.cross_zone > 0.0 && self.servers[s].entry.zone == self.set.zone;
         self.size(s) * if own { NEAR } else { 1.0 }
@@ -660,7 +660,7 @@
         let usual = Micros((self.usual_setup_ms.0? * 1_000.0 * UNUSUAL) as u64);
         let wait = conn.class.as_ref()?.aim.max(usual);
         // Where more is out than the requests of such a wait (Little's law), or much goes unanswered, all
-        // take long: clients that come back together, or wait for a slow store, would be sent again and again.
+        // take long: clients that come back together, or wait for a slow store, would be sent over and over.
         let much = f64::from(self.trying) > 2.0 + self.usual_taken.0.unwrap_or(0.0) * wait.as_secs_f64();
         if much || self.unanswered.0.is_some_and(|share| share > UNANSWERED) {
             return None;
