Agreed versions, the core: voters agree by Raft, a tree spreads, leases tell when a version counts

A core without I/O under crates/alderstile-cluster/src/agreed: time, messages, randomness are arguments.

Weighed and ruled out: the crate raft (tikv) 0.7: its build needs protoc (prost-codec: "Could not find `protoc`", tried); openraft: brings its own tasks, storage and network traits, no core without I/O. So a Raft of its own (pre-vote, check-quorum, no reads without a term's own entry) whose log has one entry, as each version is a whole document; a voter without a memory asks all others before it votes or acknowledges.

--- a/crates/alderstile-cluster/src/lib.rs
+++ b/crates/alderstile-cluster/src/lib.rs
@@ -5,6 +5,7 @@
 
 use sha2::{Digest, Sha256};
 
+pub mod agreed;
 pub mod choices;
 pub mod members;
 pub mod subsets;
