Agreed settings at the node: [control] in the cluster's file, alderstile settings show, propose, init

With a table [control] a node hears of versions on a UDP socket of its own (a member's fact tells its port), takes each one up by the same code as a file at SIGHUP (Config::renewed, Node::renew), whole or not at all, and a voter keeps its memory on disk, synced before anything that rests on it is sent. GET /settings and POST /settings/after/VERSION at the operators' address.

While a version waits: the lower max_attempts of both and the hosts out of both count. A node is not ready before it has heard which version counts, for a lease's time at most.

Store, weighed: redb 4.6 was tried first: one flipped byte (at 8360 of a file that holds one value) made it panic at its close, assertion in its page bitmap, so a damaged file would end the node. One value replaced whole needs no tables: written beside, synced, renamed, folder synced, with a digest over all; damaged at any byte or cut anywhere it is set aside and the other voters are asked (tested for each byte). fjall (a log-structured tree) was not tried: the same need.

The members' digest no longer follows settings where they are agreed: 510 members that each tell a new digest for each change would be 510 rumors a change, at 27 tellings of about 100 bytes far over 3 KB a second (reckoned, not measured).

Tests: tests/agreed.rs, 13, green three times in a row: processes with their leader killed, stopped and continued, parted by keys, a voter's memory lost and cut short; each waits for what must come. Rows of node and cluster tests green.

--- a/crates/alderstile-cluster/src/agreed/mod.rs
+++ b/crates/alderstile-cluster/src/agreed/mod.rs
@@ -69,7 +69,8 @@
         self.lease.scale((1.0 + self.drift) / (1.0 - self.drift)) + Micros(1)
     }
 
-    fn voters_digest(&self) -> u64 {
+    /// Of the list of voters: alike at all members that go by the same.
+    pub fn voters_digest(&self) -> u64 {
         let list: Vec<String> = self.voters.iter().map(SocketAddr::to_string).collect();
         crate::digest(list.join(",").as_bytes())
     }
@@ -755,7 +756,7 @@
             }
             Message::Ask { clock, .. } => {
                 // A leader has the voters to tell besides.
-                let most = if self.role() == Some(Role::Leader) { 1 } else { 3 } * self.set.fanout;
+                let most = if self.role() == Some(Role::Leader) { 1 } else { 2 } * self.set.fanout;
                 let room = self.children.len() < most || self.children.contains_key(&from);
                 // Clocks begin far below; one that doesn't is none of this program's.
                 if room && clock < 1 << 63 {
--- a/crates/alderstile-node/src/admin.rs
+++ b/crates/alderstile-node/src/admin.rs
@@ -19,6 +19,9 @@
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
+use alderstile_cluster::agreed::MAX_DOCUMENT;
+
+use crate::agreed::{Control, Proposed};
 use crate::config::CALLERS;
 use crate::operators::Operators;
 
@@ -79,6 +82,8 @@
     Ready,
     Counters,
     Members,
+    /// Agreed settings, and the version that a proposal is to follow.
+    Settings(Option<u64>),
     /// A host's id, and whether it is to be used.
     Host(String, bool),
 }
@@ -88,7 +93,11 @@
         "/control/ready" => Some(Place::Ready),
         "/control/counters" => Some(Place::Counters),
         "/members" => Some(Place::Members),
+        "/settings" => Some(Place::Settings(None)),
         _ => {
+            if let Some(version) = path.strip_prefix("/settings/after/") {
+                return version.parse().ok().map(|version| Place::Settings(Some(version)));
+            }
             let (id, word) = path.strip_prefix("/control/hosts/")?.rsplit_once('/')?;
             let online = match word {
                 "online" => true,
@@ -105,11 +114,14 @@
 
 async fn answer(operators: &Operators, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
-    if !short(body).await {
+    let place = place(head.uri.path());
+    let most = if matches!(place, Some(Place::Settings(_))) { MAX_DOCUMENT } else { MAX_BODY };
+    let Some(body) = short(body, most).await else {
         return say(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-    }
-    let Some(place) = place(head.uri.path()) else { return say(StatusCode::NOT_FOUND, "no such path\n") };
-    let wanted = if matches!(place, Place::Host(..)) { Method::POST } else { Method::GET };
+    };
+    let Some(place) = place else { return say(StatusCode::NOT_FOUND, "no such path\n") };
+    let posts = matches!(place, Place::Host(..) | Place::Settings(Some(_)));
+    let wanted = if posts { Method::POST } else { Method::GET };
     if head.method != wanted {
         let mut answer = say(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted\n");
         let allow = if wanted == Method::POST { "POST" } else { "GET" };
@@ -126,6 +138,10 @@
             Some(Err(error)) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
             None => say(StatusCode::NOT_FOUND, "no such path\n"),
         },
+        Place::Settings(expect) => match operators.control() {
+            None => say(StatusCode::NOT_FOUND, "no such path\n"),
+            Some(control) => settings(&control, expect, &body).await,
+        },
         Place::Host(host, online) => match operators.maintain(&host, online).await {
             Ok(true) => say(StatusCode::OK, if online { "online\n" } else { "offline\n" }),
             Ok(false) => say(StatusCode::NOT_FOUND, "no such host\n"),
@@ -137,15 +153,34 @@
     }
 }
 
-/// Reads a body; whether it is short enough.
-async fn short(mut body: Incoming) -> bool {
-    let mut length = 0;
+/// Agreed settings as they are, or a proposal.
+async fn settings(control: &Control, expect: Option<u64>, body: &[u8]) -> Response<Full<Bytes>> {
+    let Some(expect) = expect else {
+        return match serde_json::to_string(&control.show()) {
+            Ok(text) => say(StatusCode::OK, text),
+            Err(error) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+        };
+    };
+    match control.propose(expect, body).await {
+        Proposed::Agreed(version) => say(StatusCode::OK, format!("{version}\n")),
+        Proposed::Refused(why) => say(StatusCode::CONFLICT, format!("{why}\n")),
+        Proposed::Open => say(StatusCode::ACCEPTED, "no word so far\n"),
+    }
+}
+
+/// Reads a body that is no longer than this.
+async fn short(mut body: Incoming, most: usize) -> Option<Vec<u8>> {
+    let (mut length, mut read) = (0, Vec::new());
     while length < DRAIN
         && let Some(Ok(frame)) = body.frame().await
     {
-        length += frame.data_ref().map_or(0, Bytes::len);
+        let data = frame.data_ref().map(Bytes::as_ref).unwrap_or_default();
+        length += data.len();
+        if length <= most {
+            read.extend(data);
+        }
     }
-    length <= MAX_BODY
+    (length <= most).then_some(read)
 }
 
 fn say(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
--- a/crates/alderstile-node/src/cluster.rs
+++ b/crates/alderstile-node/src/cluster.rs
@@ -235,6 +235,12 @@
         members.others().filter(|member| member.state.lives()).map(|member| each(&member.record)).collect()
     }
 
+    /// This member's name, and where others reach it.
+    pub fn me(&self) -> (String, SocketAddr) {
+        let members = self.members.borrow();
+        (members.me().name.to_string(), members.me().address)
+    }
+
     /// Lets go of the socket: the other process of this node goes on as the same member.
     pub fn let_go(&self) {
         self.let_go.notify_one();
--- a/crates/alderstile-node/src/config.rs
+++ b/crates/alderstile-node/src/config.rs
@@ -18,7 +18,7 @@
 
 mod cluster;
 
-pub use cluster::{ClusterConfig, ClusterError, Subsets};
+pub use cluster::{ClusterConfig, ClusterError, ControlConfig, CutOff, Subsets};
 
 /// Descriptors that are no connections of clients or to hosts: the runtime's, the listeners, discovery, peers, logs.
 const OWN_DESCRIPTORS: usize = 24;
--- a/crates/alderstile-node/src/config/cluster.rs
+++ b/crates/alderstile-node/src/config/cluster.rs
@@ -1,15 +1,18 @@
 //! The cluster's file (TOML): who the other members are, and what this one goes by.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use alderstile::interface::Micros;
+use alderstile_cluster::agreed;
 use alderstile_cluster::members::{self, MAX_CLUSTER, MIN_KEY, Seal};
 use serde::Deserialize;
 use thiserror::Error;
 
 /// No subset is meant to have more hosts, and no host more nodes that it is sure of.
 const MOST_HOSTS: usize = 10_000;
+/// A lease lasts so many heartbeats at least: one, the patience for the teller, and one lost word.
+const LEASE_BEATS: f64 = 5.0;
 /// An hour.
 const LONGEST_HOLD_S: f64 = 3_600.0;
 
@@ -40,6 +43,47 @@
     period_ms: Option<u64>,
     suspicion: Option<f64>,
     subsets: Option<SubsetsTable>,
+    control: Option<ControlTable>,
+}
+
+/// The table `[control]`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ControlTable {
+    listen: SocketAddr,
+    voters: Vec<SocketAddr>,
+    state_dir: Option<PathBuf>,
+    heartbeat_ms: Option<u64>,
+    lease_s: Option<f64>,
+    drift: Option<f64>,
+    fanout: Option<usize>,
+    cut_off: Option<CutOff>,
+}
+
+/// What a node does that has not heard for the lease's time which version is the latest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CutOff {
+    /// It goes on by what it has.
+    #[default]
+    GoOn,
+    /// It is not ready: takes no new clients.
+    Refuse,
+}
+
+/// Settings are agreed among the members.
+#[derive(Clone)]
+pub struct ControlConfig {
+    /// Where this node hears of versions, UDP.
+    pub listen: SocketAddr,
+    /// The cluster's name and keys, on every datagram.
+    pub seal: agreed::Seal,
+    /// What the core goes by.
+    pub settings: agreed::Settings,
+    /// Where a voter keeps its memory.
+    pub state_dir: Option<PathBuf>,
+    /// What a node does that is cut off.
+    pub cut_off: CutOff,
 }
 
 /// The table `[subsets]`.
@@ -88,6 +132,8 @@
     pub settings: members::Settings,
     /// Each node uses a part of the hosts; all of them where this is not set.
     pub subsets: Option<Subsets>,
+    /// Settings are agreed among the members; each node goes by its own file where this is not set.
+    pub control: Option<ControlConfig>,
 }
 
 impl ClusterConfig {
@@ -154,7 +200,14 @@
                 Some(Subsets { size, users, zones_first, hold: Micros((hold_s * 1e6) as u64) })
             }
         };
+        let seal_of =
+            || agreed::Seal::new(&file.name, &keys).ok_or_else(|| bad("keys", "can't be used".to_owned()));
+        let control = match file.control {
+            None => None,
+            Some(table) => Some(control(table, seal_of()?, bad)?),
+        };
         Ok(ClusterConfig {
+            control,
             subsets,
             name: file.name,
             listen: file.listen,
@@ -165,3 +218,57 @@
         })
     }
 }
+
+/// Checks the table `[control]`.
+fn control(
+    table: ControlTable,
+    seal: agreed::Seal,
+    bad: impl Fn(&str, String) -> ClusterError,
+) -> Result<ControlConfig, ClusterError> {
+    let ControlTable { listen, voters, state_dir, .. } = table;
+    let reachable = |address: &SocketAddr| !address.ip().is_unspecified() && address.port() != 0;
+    if listen.port() == 0 {
+        return Err(bad("control.listen", "a port is wanted that others can know".to_owned()));
+    }
+    if voters.is_empty() || voters.len() > agreed::MAX_VOTERS {
+        let what = format!("{}: 1 to {} are wanted", voters.len(), agreed::MAX_VOTERS);
+        return Err(bad("control.voters", what));
+    }
+    for (i, voter) in voters.iter().enumerate() {
+        if !reachable(voter) {
+            let what = format!("{voter}: an address is wanted that others can reach");
+            return Err(bad(&format!("control.voters[{i}]"), what));
+        }
+        if voters[..i].contains(voter) {
+            return Err(bad(&format!("control.voters[{i}]"), format!("{voter}: named twice")));
+        }
+    }
+    let me = voters.iter().position(|voter| *voter == listen).and_then(|me| u8::try_from(me).ok());
+    if me.is_some() && state_dir.is_none() {
+        return Err(bad("control.state_dir", "a voter wants a lasting place for its memory".to_owned()));
+    }
+    let mut settings = agreed::Settings::usual(voters, me);
+    if let Some(heartbeat) = table.heartbeat_ms {
+        if !(20..=10_000).contains(&heartbeat) {
+            return Err(bad("control.heartbeat_ms", format!("{heartbeat}: 20 to 10000 is wanted")));
+        }
+        settings.heartbeat = Micros::from_millis(heartbeat);
+    }
+    let least = settings.heartbeat.scale(LEASE_BEATS);
+    let lease = table.lease_s.unwrap_or(least.as_secs_f64());
+    if !(lease >= least.as_secs_f64() && lease <= LONGEST_HOLD_S) {
+        let what =
+            format!("{lease}: {} (five heartbeats) to {LONGEST_HOLD_S} s are wanted", least.as_secs_f64());
+        return Err(bad("control.lease_s", what));
+    }
+    settings.lease = Micros((lease * 1e6) as u64);
+    settings.drift = table.drift.unwrap_or(settings.drift);
+    if !(0.0..=0.1).contains(&settings.drift) {
+        return Err(bad("control.drift", format!("{}: 0 to 0.1 is wanted", settings.drift)));
+    }
+    settings.fanout = table.fanout.unwrap_or(settings.fanout);
+    if !(2..=64).contains(&settings.fanout) {
+        return Err(bad("control.fanout", format!("{}: 2 to 64 is wanted", settings.fanout)));
+    }
+    Ok(ControlConfig { listen, seal, settings, state_dir, cut_off: table.cut_off.unwrap_or_default() })
+}
--- a/crates/alderstile-node/src/lib.rs
+++ b/crates/alderstile-node/src/lib.rs
@@ -4,6 +4,10 @@
 //! decides where a client goes: that is the library's.
 
 pub mod admin;
+pub mod agreed;
+pub mod agreed_client;
+pub mod agreed_document;
+pub mod agreed_store;
 pub mod buffer;
 pub mod choices;
 pub mod client;
--- a/crates/alderstile-node/src/main.rs
+++ b/crates/alderstile-node/src/main.rs
@@ -6,6 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use alderstile_cluster::agreed::Memory;
+use alderstile_node::agreed::Control;
+use alderstile_node::agreed_client::{self, CallError};
+use alderstile_node::agreed_document::Document;
+use alderstile_node::agreed_store::Store;
 use alderstile_node::choices;
 use alderstile_node::cluster::Cluster;
 use alderstile_node::config::{ClusterConfig, Config};
@@ -67,10 +72,34 @@
         #[arg(long)]
         json: bool,
     },
+    /// Settings that all nodes of the cluster agree on
+    Settings {
+        /// A node's operators' address; without, the configuration's
+        #[arg(long, global = true)]
+        admin: Option<SocketAddr>,
+        #[command(subcommand)]
+        what: Agreement,
+    },
     /// Print the version
     Version,
 }
 
+#[derive(Subcommand)]
+enum Agreement {
+    /// Show the version in force at a node, and its document
+    Show,
+    /// Propose a document (JSON: settings, hosts_out) as the next version, and print its number
+    Propose {
+        /// The document
+        file: PathBuf,
+        /// The version that it is to follow: another one in force turns it down; without, the one that the node knows now
+        #[arg(long)]
+        expect: Option<u64>,
+    },
+    /// Begin a voter's memory, before its very first start
+    Init,
+}
+
 fn main() -> ExitCode {
     let args = Args::parse();
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
@@ -82,6 +111,7 @@
     }
     let path = args.config.as_deref();
     let done = match args.command {
+        Command::Settings { admin, what } => return settings(admin, path, args.cluster.as_deref(), what),
         Command::Version => {
             println!("alderstile {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -132,6 +162,74 @@
     Ok(())
 }
 
+/// Faulty input ends with 2, a call that came to nothing with 1.
+fn settings(
+    admin: Option<SocketAddr>,
+    path: Option<&Path>,
+    cluster: Option<&Path>,
+    what: Agreement,
+) -> ExitCode {
+    let faulty = |what: String| (2, what);
+    let call =
+        |error: CallError| (if matches!(error, CallError::Refused(_)) { 2 } else { 1 }, error.to_string());
+    let admin = || match admin {
+        Some(admin) => Ok(admin),
+        None => {
+            let nowhere = || faulty("where? name the operators' address with --admin".to_owned());
+            load(path).map_err(faulty)?.admin_addr.ok_or_else(nowhere)
+        }
+    };
+    let done = match what {
+        Agreement::Show => admin().and_then(|admin| {
+            let shown = agreed_client::show(admin).map_err(call)?;
+            serde_json::to_string_pretty(&shown).map_err(|error| (1, error.to_string()))
+        }),
+        Agreement::Propose { file, expect } => admin().and_then(|admin| {
+            let shown = file.display();
+            let document = std::fs::read(&file).map_err(|error| faulty(format!("{shown}: {error}")))?;
+            Document::parse(&document).map_err(|error| faulty(format!("{shown}: {error}")))?;
+            let expect = match expect {
+                Some(expect) => expect,
+                None => agreed_client::show(admin).map_err(call)?.known,
+            };
+            let version = agreed_client::propose(admin, expect, &document).map_err(|error| {
+                let (code, error) = call(error);
+                (code, format!("{shown}: {error}"))
+            })?;
+            Ok(format!("version {version}"))
+        }),
+        Agreement::Init => init(path, cluster).map_err(faulty),
+    };
+    match done {
+        Ok(said) => {
+            println!("{said}");
+            ExitCode::SUCCESS
+        }
+        Err((code, error)) => {
+            error!("{error}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Begins a voter's memory; never in place of one that is there.
+fn init(path: Option<&Path>, cluster: Option<&Path>) -> Result<String, String> {
+    let name = load(path)?.name;
+    let control = load_cluster(cluster)?.and_then(|cluster| cluster.control);
+    let control = control.ok_or("the cluster's file has no [control]; name it with --cluster")?;
+    let (Some(_), Some(dir)) = (control.settings.me, &control.state_dir) else {
+        return Err(format!("{}: this node is none of control.voters", control.listen));
+    };
+    let path = Store::path(dir, &name);
+    if path.exists() {
+        return Err(format!("{}: is there already, and stays as it is", path.display()));
+    }
+    let opened = Store::open(&path, control.settings.voters_digest());
+    let begun = opened.and_then(|(store, _)| store.save(&Memory::genesis(), &[]));
+    begun.map_err(|error| error.to_string())?;
+    Ok(format!("{}: begun", path.display()))
+}
+
 fn env(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -209,6 +307,16 @@
                 Cluster::new(&node.config(), cluster, before).map_err(|what| format!("cluster: {what}"))?,
             );
             node.operators.join(member.clone());
+            if let Some(control) = &cluster.control {
+                let control = Rc::new(Control::new(control, &node));
+                node.operators.agree(control.clone());
+                let member = member.clone();
+                spawn_local(async move {
+                    if let Err(error) = control.run(member).await {
+                        error!("agreed: {error}; this node goes by what it has");
+                    }
+                });
+            }
             if let Some(subsets) = &cluster.subsets {
                 choices::begin(&node, subsets);
                 spawn_local(choices::run(node.clone(), member.clone()));
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -46,7 +46,10 @@
     pub fn renew(&self, config: Config) {
         self.clients.count(|counters| counters.classes(&config.classes));
         self.decisions.renew(&config);
-        self.operators.cluster().iter().for_each(|cluster| cluster.renew(&config));
+        // Agreed settings have versions of their own: told by the members too, each change would be 510 rumors.
+        if self.operators.control().is_none() {
+            self.operators.cluster().iter().for_each(|cluster| cluster.renew(&config));
+        }
         let discovery = config.discovery;
         self.config.set(config);
         if discovery != self.decisions.discovery() {
--- a/crates/alderstile-node/src/operators.rs
+++ b/crates/alderstile-node/src/operators.rs
@@ -6,6 +6,7 @@
 
 use tracing::info;
 
+use crate::agreed::Control;
 use crate::clients::Clients;
 use crate::cluster::Cluster;
 use crate::config::Current;
@@ -23,6 +24,7 @@
     process: Rc<Process>,
     kept: RefCell<Kept>,
     cluster: RefCell<Option<Rc<Cluster>>>,
+    control: RefCell<Option<Rc<Control>>>,
 }
 
 impl Operators {
@@ -38,13 +40,14 @@
         for (host, stand) in kept.hosts() {
             decisions.decide(|facade, now| stand.apply(facade, now, server_id(host)));
         }
-        let (kept, cluster) = (RefCell::new(kept), RefCell::default());
-        Operators { config, decisions, clients, process, kept, cluster }
+        let (kept, cluster, control) = (RefCell::new(kept), RefCell::default(), RefCell::default());
+        Operators { config, decisions, clients, process, kept, cluster, control }
     }
 
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
-        self.decisions.can_serve() && self.process.listens().is_some() && !self.process.is_leaving()
+        let heard = self.control().is_none_or(|control| control.ready());
+        heard && self.decisions.can_serve() && self.process.listens().is_some() && !self.process.is_leaving()
     }
 
     /// This node is a member of a cluster from now on.
@@ -57,6 +60,16 @@
         self.cluster.borrow().clone()
     }
 
+    /// This node goes by settings that are agreed from now on.
+    pub fn agree(&self, control: Rc<Control>) {
+        self.control.replace(Some(control));
+    }
+
+    /// This node's part in agreed settings, where it has one.
+    pub fn control(&self) -> Option<Rc<Control>> {
+        self.control.borrow().clone()
+    }
+
     /// Where hosts stand that operators have named.
     pub fn hosts(&self) -> Vec<(String, Stand)> {
         self.kept.borrow().hosts().map(|(host, stand)| (host.to_owned(), stand)).collect()
@@ -71,7 +84,8 @@
             subset: self.decisions.share_counts(),
             members: self.cluster().map(|cluster| cluster.counts()),
         });
-        self.clients.figures(gauges)
+        let agreed = self.control().map(|control| control.figures()).unwrap_or_default();
+        self.clients.figures(gauges) + &agreed
     }
 
     /// Takes a host out by hand or puts it back. It is so in the decisions and on disk before this returns; false where
--- a/crates/alderstile-node/src/reload.rs
+++ b/crates/alderstile-node/src/reload.rs
@@ -13,7 +13,11 @@
 /// Reads the file again. A faulty one changes nothing, and its fault is logged. What the environment says of
 /// discovery counted for the start: from here on the file's word stands, or a reload could never change it.
 pub fn reload(node: &Node, path: Option<&Path>, env: impl Fn(&str) -> Option<String>) {
-    match Config::read(path, env).and_then(|file| node.config().renewed(file)) {
+    let over = |file| match node.operators.control() {
+        Some(control) => control.over(file),
+        None => file,
+    };
+    match Config::read(path, env).and_then(|file| node.config().renewed(over(file))) {
         Ok((config, waiting)) => {
             let classes = config.classes.len() - config.gone.len();
             info!("reload: taken, {classes} classes, discovery at {}", config.discovery);
@@ -39,6 +43,9 @@
     match ClusterConfig::load(path) {
         Ok(config) => {
             cluster.renew_keys(&config);
+            if let (Some(control), Some(config)) = (node.operators.control(), &config.control) {
+                control.renew_keys(config);
+            }
             info!("reload: the cluster's keys are taken; all else of its file waits for the next start");
         }
         Err(error) => error!("reload: the cluster's file is turned down: {error}; the keys held go on"),
--- /dev/null
+++ b/crates/alderstile-node/tests/agreed.rs
@@ -0,0 +1,566 @@
+//! Agreed settings: real processes with faults between them, what a node does by a version, and a voter's memory on disk.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use alderstile_cluster::agreed::{Head, Memory, Stamp};
+use alderstile_node::agreed::{Control, Proposed, Shown};
+use alderstile_node::agreed_document::Document;
+use alderstile_node::agreed_store::{Store, StoreError, parse};
+use alderstile_node::cluster::Cluster;
+use alderstile_node::config::{ClusterConfig, Config};
+use alderstile_node::list::server_id;
+use alderstile_node::reload::reload;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{Value, json};
+use tokio::task::spawn_local;
+
+mod support;
+use support::*;
+
+const KEY: &str = "00112233445566778899aabbccddeeff";
+const OTHER_KEY: &str = "ffeeddccbbaa99887766554433221100";
+
+fn folder(name: &str) -> PathBuf {
+    let dir =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("agreed-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+/// The settings that all nodes of the tests have alike, as a document.
+fn document(change: impl FnOnce(&mut Value)) -> Value {
+    let mut settings = config("127.0.0.1:1", "127.0.0.1:1")["settings"].take();
+    settings.as_object_mut().expect("an object").remove("my_zone");
+    let mut document = json!({ "settings": settings });
+    change(&mut document);
+    document
+}
+
+fn with_attempts(most: u64) -> Value {
+    document(|document| document["settings"]["allowed"]["max_attempts"] = most.into())
+}
+
+/// Several nodes' processes on loopback addresses of their own, the first of them voters.
+struct Fleet {
+    dir: PathBuf,
+    net: u8,
+    voters: u8,
+    running: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    fn new(net: u8, count: u8, voters: u8) -> Self {
+        let dir = folder(&format!("fleet-{net}"));
+        let mut fleet = Fleet { dir, net, voters, running: (0..count).map(|_| None).collect() };
+        for n in 1..=count {
+            let mut file = config(&fleet.at(n, 19_000), "127.0.0.1:1");
+            (file["name"], file["admin_addr"]) = (format!("n{n}").into(), fleet.at(n, 19_001).into());
+            std::fs::write(fleet.file(n, "json"), file.to_string()).expect("written");
+            fleet.key(n, KEY);
+            if n <= voters {
+                let out = fleet.call(n, &["settings", "init"]);
+                assert!(out.status.success(), "{out:?}");
+                let again = fleet.call(n, &["settings", "init"]);
+                assert_eq!(again.status.code(), Some(2), "it never takes a memory's place");
+            }
+            fleet.start(n);
+        }
+        fleet
+    }
+
+    fn at(&self, n: u8, port: u16) -> String {
+        format!("127.0.{}.{n}:{port}", self.net)
+    }
+
+    fn file(&self, n: u8, kind: &str) -> PathBuf {
+        self.dir.join(format!("{n}.{kind}"))
+    }
+
+    fn store(&self, n: u8) -> PathBuf {
+        Store::path(&self.dir, &format!("n{n}"))
+    }
+
+    /// Writes a node's cluster's file, with this key.
+    fn key(&self, n: u8, key: &str) {
+        let voters: Vec<String> = (1..=self.voters).map(|n| format!("\"{}\"", self.at(n, 19_003))).collect();
+        let text = format!(
+            "name = \"edge\"\nlisten = \"{}\"\nseeds = [\"{}\", \"{}\"]\nkeys = [\"{key}\"]\nperiod_ms = 200\n\
+             [control]\nlisten = \"{}\"\nvoters = [{}]\nstate_dir = \"{}\"\nheartbeat_ms = 150\nlease_s = 0.9\n",
+            self.at(n, 19_002),
+            self.at(1, 19_002),
+            self.at(2, 19_002),
+            self.at(n, 19_003),
+            voters.join(", "),
+            self.dir.display()
+        );
+        std::fs::write(self.file(n, "toml"), text).expect("written");
+    }
+
+    fn call(&self, n: u8, args: &[&str]) -> Output {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_alderstile"));
+        program
+            .args(args)
+            .arg("--config")
+            .arg(self.file(n, "json"))
+            .arg("--cluster")
+            .arg(self.file(n, "toml"));
+        program.output().expect("run")
+    }
+
+    fn start(&mut self, n: u8) {
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.file(n, "log")).expect("a log");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_alderstile"));
+        program
+            .arg("serve")
+            .arg("--config")
+            .arg(self.file(n, "json"))
+            .arg("--cluster")
+            .arg(self.file(n, "toml"));
+        let child =
+            program.env_remove("RUST_LOG").stderr(log).stdout(Stdio::null()).spawn().expect("started");
+        self.running[usize::from(n) - 1] = Some(child);
+    }
+
+    fn kill(&mut self, n: u8) {
+        if let Some(mut child) = self.running[usize::from(n) - 1].take() {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+    }
+
+    fn signal(&self, n: u8, signal: &str) {
+        let pid = self.running[usize::from(n) - 1].as_ref().expect("up").id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("sent").success());
+    }
+
+    fn show(&self, n: u8) -> Option<Shown> {
+        let out = self.call(n, &["settings", "show"]);
+        serde_json::from_slice(&out.stdout).ok()
+    }
+
+    /// Proposes a document at a node; what the command said, and how it ended.
+    fn propose(&self, n: u8, document: &Value, expect: Option<u64>) -> (Option<i32>, String) {
+        let path = self.dir.join("proposal.json");
+        std::fs::write(&path, document.to_string()).expect("written");
+        let mut args = vec!["settings".to_owned(), "propose".to_owned(), path.display().to_string()];
+        if let Some(expect) = expect {
+            args.extend(["--expect".to_owned(), expect.to_string()]);
+        }
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        let out = self.call(n, &args);
+        let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+        (out.status.code(), text)
+    }
+
+    /// Proposes until it is agreed on: a leader may have to be elected, or the version before to count, first.
+    fn agree(&self, n: u8, document: &Value) -> u64 {
+        let began = Instant::now();
+        loop {
+            let (code, said) = self.propose(n, document, None);
+            if code == Some(0) {
+                return said
+                    .trim()
+                    .strip_prefix("version ")
+                    .and_then(|text| text.parse().ok())
+                    .expect("a version");
+            }
+            assert!(began.elapsed() < Duration::from_secs(60), "{said}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// Waits until these nodes are as wanted.
+    fn until(&self, nodes: &[u8], what: &str, wanted: impl Fn(&Shown) -> bool) {
+        let began = Instant::now();
+        while !nodes.iter().all(|n| self.show(*n).is_some_and(|shown| wanted(&shown))) {
+            let shown: Vec<Option<Shown>> = nodes.iter().map(|n| self.show(*n)).collect();
+            assert!(began.elapsed() < Duration::from_secs(60), "{what}: {shown:#?}");
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn counts(&self, nodes: &[u8], version: u64) {
+        self.until(nodes, &format!("version {version}"), |shown| {
+            shown.in_force == version && shown.standing == "counts" && shown.refused.is_none()
+        });
+    }
+
+    fn leader(&self) -> u8 {
+        let began = Instant::now();
+        loop {
+            let voter = |n: &u8| self.show(*n).is_some_and(|shown| shown.voter.as_deref() == Some("leader"));
+            if let Some(leader) = (1..=self.voters).find(voter) {
+                return leader;
+            }
+            assert!(began.elapsed() < Duration::from_secs(60), "no leader");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn log(&self, n: u8) -> String {
+        std::fs::read_to_string(self.file(n, "log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in self.running.iter_mut().flatten() {
+            child.kill().unwrap_or_default();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            std::fs::remove_dir_all(&self.dir).unwrap_or_default();
+        }
+    }
+}
+
+#[test]
+fn a_proposal_at_any_node_counts_at_all_of_them_and_a_faulty_one_at_none() {
+    let fleet = Fleet::new(81, 6, 3);
+    let all = [1, 2, 3, 4, 5, 6];
+    fleet.counts(&all, 0);
+    assert_eq!(fleet.agree(6, &with_attempts(2)), 1);
+    fleet.counts(&all, 1);
+    let shown = fleet.show(4).expect("shown");
+    assert_eq!(shown.document["settings"]["allowed"]["max_attempts"], 2);
+    for (n, bad, key) in [
+        (5, with_attempts(0), "allowed.max_attempts"),
+        (1, json!({"setings": {}}), "unknown field `setings`"),
+        (2, document(|document| document["settings"]["my_zone"] = 0.into()), "settings.my_zone"),
+        (3, document(|document| document["hosts_out"] = json!([""])), "hosts_out"),
+        (4, document(|document| drop(document["settings"]["classes"][0]["name"].take())), "name"),
+    ] {
+        let (code, said) = fleet.propose(n, &bad, None);
+        assert!(code == Some(2) && said.contains(key) && said.contains("proposal.json"), "{code:?} {said}");
+    }
+    let (code, said) = fleet.propose(5, &with_attempts(4), Some(0));
+    assert!(code == Some(2) && said.contains("version 1 is agreed, not 0"), "{code:?} {said}");
+    assert!(all.iter().all(|n| fleet.show(*n).is_some_and(|shown| shown.known == 1)));
+}
+
+#[test]
+fn changes_go_on_when_the_leader_is_killed_and_it_comes_back_by_its_memory() {
+    let mut fleet = Fleet::new(82, 5, 3);
+    assert_eq!(fleet.agree(5, &with_attempts(2)), 1);
+    let leader = fleet.leader();
+    fleet.kill(leader);
+    let rest: Vec<u8> = (1..=5).filter(|n| *n != leader).collect();
+    assert_eq!(fleet.agree(5, &with_attempts(4)), 2);
+    fleet.counts(&rest, 2);
+    fleet.start(leader);
+    fleet.counts(&[leader], 2);
+    assert!(fleet.log(leader).contains("remembers term"), "{}", fleet.log(leader));
+    // Two of three are gone: nothing changes, and the others go on as they are.
+    fleet.kill(1);
+    fleet.kill(2);
+    fleet.until(&[3, 4, 5], "cut off", |shown| shown.standing == "cut off" && shown.in_force == 2);
+    let (code, said) = fleet.propose(4, &with_attempts(5), None);
+    assert!(code == Some(1) && said.contains("no word from a leader"), "{code:?} {said}");
+    fleet.start(1);
+    fleet.until(&[3, 4, 5, 1], "back", |shown| shown.standing == "counts" && shown.in_force >= 2);
+}
+
+#[test]
+fn a_node_that_stood_still_knows_that_it_was_cut_off_and_hears_of_the_next_version() {
+    let fleet = Fleet::new(83, 5, 3);
+    let all = [1, 2, 3, 4, 5];
+    assert_eq!(fleet.agree(4, &with_attempts(2)), 1);
+    fleet.counts(&all, 1);
+    let leader = fleet.leader();
+    // One that leads, and one that is no voter.
+    fleet.signal(5, "-STOP");
+    fleet.signal(leader, "-STOP");
+    assert_eq!(fleet.agree(4, &with_attempts(4)), 2);
+    let rest: Vec<u8> = (1..=4).filter(|n| *n != leader).collect();
+    fleet.counts(&rest, 2);
+    fleet.signal(5, "-CONT");
+    fleet.signal(leader, "-CONT");
+    fleet.counts(&all, 2);
+}
+
+#[test]
+fn two_sides_that_do_not_hear_each_other_never_count_by_two_versions_and_join_again() {
+    let fleet = Fleet::new(84, 7, 5);
+    assert_eq!(fleet.agree(7, &with_attempts(2)), 1);
+    fleet.counts(&[1, 2, 3, 4, 5, 6, 7], 1);
+    // With another key each side takes nothing from the other: 4, 5 and 7 are the smaller side.
+    for n in [4, 5, 7] {
+        fleet.key(n, OTHER_KEY);
+        fleet.signal(n, "-HUP");
+    }
+    fleet.until(&[4, 5, 7], "cut off", |shown| shown.standing == "cut off");
+    assert_eq!(fleet.agree(6, &with_attempts(4)), 2);
+    fleet.counts(&[1, 2, 3, 6], 2);
+    let (code, said) = fleet.propose(7, &with_attempts(5), None);
+    assert!(code == Some(1), "{code:?} {said}");
+    assert!(
+        [4, 5, 7].iter().all(|n| fleet.show(*n).is_some_and(|shown| (shown.in_force, shown.known) == (1, 1)))
+    );
+    for n in [4, 5, 7] {
+        fleet.key(n, KEY);
+        fleet.signal(n, "-HUP");
+    }
+    fleet.counts(&[1, 2, 3, 4, 5, 6, 7], 2);
+}
+
+#[test]
+fn a_voter_whose_memory_is_lost_or_damaged_asks_all_others_and_is_not_believed_before() {
+    let mut fleet = Fleet::new(85, 4, 3);
+    assert_eq!(fleet.agree(4, &with_attempts(2)), 1);
+    fleet.counts(&[1, 2, 3, 4], 1);
+    // Without each of the others' word it has no vote.
+    fleet.kill(1);
+    fleet.kill(2);
+    std::fs::remove_file(fleet.store(1)).expect("taken away");
+    fleet.start(1);
+    fleet.until(&[1], "a learner", |shown| shown.voter.as_deref() == Some("learner"));
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(fleet.show(1).and_then(|shown| shown.voter).as_deref(), Some("learner"));
+    assert!(fleet.log(1).contains("has no memory"), "{}", fleet.log(1));
+    fleet.start(2);
+    fleet.counts(&[1, 2, 3, 4], 1);
+    fleet.until(&[1], "a voter", |shown| shown.voter.as_deref().is_some_and(|voter| voter != "learner"));
+    // Cut short, it is set aside and asked for again.
+    fleet.kill(3);
+    let whole = std::fs::read(fleet.store(3)).expect("read");
+    std::fs::write(fleet.store(3), &whole[..whole.len() / 3]).expect("written");
+    fleet.start(3);
+    fleet.counts(&[3], 1);
+    fleet.until(&[3], "a voter", |shown| shown.voter.as_deref().is_some_and(|voter| voter != "learner"));
+    assert!(fleet.store(3).with_extension("damaged").exists());
+    assert_eq!(fleet.agree(4, &with_attempts(4)), 2);
+    fleet.counts(&[1, 2, 3, 4], 2);
+}
+
+/// A node that is the only voter, in this process.
+async fn alone(net: u8, hosts: &[&Host]) -> (Setup, Peer, Rc<Control>, PathBuf) {
+    let (setup, watch) = serving(hosts).await;
+    let dir = folder(&format!("alone-{net}"));
+    let text = format!(
+        "name = \"edge\"\nlisten = \"127.0.{net}.1:19002\"\nkeys = [\"{KEY}\"]\n[control]\n\
+         listen = \"127.0.{net}.1:19003\"\nvoters = [\"127.0.{net}.1:19003\"]\nstate_dir = \"{}\"\n\
+         heartbeat_ms = 50\n",
+        dir.display()
+    );
+    let cluster = ClusterConfig::parse("c.toml", &text).expect("fine");
+    let control = cluster.control.as_ref().expect("a table");
+    let store = Store::path(&dir, &setup.node.config().name);
+    let (begun, _) = Store::open(&store, control.settings.voters_digest()).expect("opened");
+    begun.save(&Memory::genesis(), &[]).expect("saved");
+    drop(begun);
+    let member = Rc::new(Cluster::new(&setup.node.config(), &cluster, None).expect("a member"));
+    setup.node.operators.join(member.clone());
+    let control = Rc::new(Control::new(control, &setup.node));
+    setup.node.operators.agree(control.clone());
+    assert!(!setup.node.operators.ready(), "not before it knows which version counts");
+    spawn_local(control.clone().run(member));
+    (setup, watch, control, dir)
+}
+
+async fn agreed(control: &Control, document: &Value) -> u64 {
+    loop {
+        let expect = control.show().known;
+        if let Proposed::Agreed(version) = control.propose(expect, document.to_string().as_bytes()).await {
+            return version;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn in_force(control: &Control, version: u64) {
+    while control.show().in_force < version {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn settings_and_hosts_out_count_at_the_node_and_the_stricter_of_both_while_a_version_waits() {
+    run(async {
+        let hosts = [Host::new("s-1").await, Host::new("s-2").await];
+        let (setup, _watch, control, dir) = alone(86, &[&hosts[0], &hosts[1]]).await;
+        let out = |host: &str| {
+            setup.node.decisions.decide(|facade, _| facade.maintenance().is_out(server_id(host)))
+        };
+        let most = || setup.node.config().settings.max_attempts;
+        let both = document(|document| {
+            document["settings"]["allowed"]["max_attempts"] = 2.into();
+            document["hosts_out"] = json!(["s-1"]);
+        });
+        assert_eq!(agreed(&control, &both).await, 1);
+        // Agreed and not in force yet: fewer attempts and a host out count at once.
+        assert_eq!((control.show().in_force, most(), out("s-1")), (0, 2, true));
+        in_force(&control, 1).await;
+        assert_eq!((most(), out("s-1"), out("s-2")), (2, true, false));
+        assert!(setup.node.operators.figures().contains("router.hosts_down:1|g"));
+        let wider = document(|document| {
+            document["settings"]["allowed"]["max_attempts"] = 5.into();
+            document["settings"]["obligations"]["fall_multiple"] = 3.0.into();
+            document["hosts_out"] = json!(["s-2"]);
+        });
+        assert_eq!(agreed(&control, &wider).await, 2);
+        assert_eq!(control.show().in_force, 1);
+        assert_eq!((most(), out("s-1"), out("s-2")), (2, true, true), "both are out until it counts");
+        in_force(&control, 2).await;
+        assert_eq!((most(), out("s-1"), out("s-2")), (5, false, true));
+        // The file at SIGHUP can't undo what is agreed; its other keys count.
+        let path = dir.join("file.json");
+        let mut file = setup.node.config().told.clone();
+        file["settings"]["allowed"]["max_attempts"] = 1.into();
+        file["discovery"] = "127.0.0.1:9".into();
+        std::fs::write(&path, file.to_string()).expect("written");
+        reload(&setup.node, Some(&path), |_| None);
+        assert_eq!((most(), setup.node.config().discovery.port()), (5, 9));
+        let figures = setup.node.operators.figures();
+        assert!(figures.contains("router.agreed_version:2|g"), "{figures}");
+        assert!(setup.node.operators.ready());
+        std::fs::remove_dir_all(&dir).expect("taken away");
+    });
+}
+
+#[test]
+fn a_host_out_by_hand_at_a_node_stays_out_when_the_agreed_word_ends() {
+    run(async {
+        let host = Host::new("s-1").await;
+        let (setup, _watch, control, dir) = alone(87, &[&host]).await;
+        let out = || setup.node.decisions.decide(|facade, _| facade.maintenance().is_out(server_id("s-1")));
+        agreed(&control, &document(|document| document["hosts_out"] = json!(["s-1"]))).await;
+        in_force(&control, 1).await;
+        setup.node.operators.stand("s-1", alderstile_node::kept::Stand::Out);
+        agreed(&control, &document(|_| {})).await;
+        in_force(&control, 2).await;
+        assert!(out(), "by hand");
+        std::fs::remove_dir_all(&dir).expect("taken away");
+    });
+}
+
+#[test]
+fn without_the_table_there_is_no_such_path_and_no_figure() {
+    run(async {
+        let setup = start(|_| {}).await;
+        assert!(setup.node.operators.control().is_none());
+        assert!(!setup.node.operators.figures().contains("agreed"));
+    });
+}
+
+#[test]
+fn a_faulty_table_is_turned_down_with_its_key() {
+    let fine = format!(
+        "name = \"edge\"\nlisten = \"127.0.0.1:7946\"\nkeys = [\"{KEY}\"]\n[control]\nlisten = \"127.0.0.1:7950\"\n\
+         voters = [\"127.0.0.2:7950\", \"127.0.0.3:7950\"]\n"
+    );
+    let config = ClusterConfig::parse("c.toml", &fine).expect("fine").control.expect("a table");
+    assert_eq!((config.settings.me, config.settings.lease.0), (None, 2_500_000));
+    for (from, to, key) in [
+        ("127.0.0.1:7950", "127.0.0.1:0", "control.listen"),
+        ("127.0.0.1:7950", "127.0.0.2:7950", "control.state_dir"),
+        ("voters = [\"127.0.0.2:7950\", \"127.0.0.3:7950\"]", "voters = []", "control.voters"),
+        ("127.0.0.3:7950", "127.0.0.2:7950", "control.voters[1]"),
+        ("127.0.0.3:7950", "0.0.0.0:7950", "control.voters[1]"),
+        ("voters", "heartbeat_ms = 1\nvoters", "control.heartbeat_ms"),
+        ("voters", "lease_s = 2.4\nvoters", "control.lease_s"),
+        ("voters", "lease_s = nan\nvoters", "control.lease_s"),
+        ("voters", "drift = 0.2\nvoters", "control.drift"),
+        ("voters", "fanout = 1\nvoters", "control.fanout"),
+        ("voters", "cut_off = \"stop\"\nvoters", "unknown variant `stop`"),
+        ("voters", "what = 1\nvoters", "unknown field `what`"),
+    ] {
+        let error = ClusterConfig::parse("c.toml", &fine.replacen(from, to, 1)).err().map(|e| e.to_string());
+        assert!(error.as_ref().is_some_and(|error| error.contains(key)), "{to}: {error:?}");
+    }
+}
+
+fn memory(version: u64, document: &[u8]) -> Memory {
+    let stamp = Stamp { term: 4, version };
+    let head = Head { stamp, digest: alderstile_cluster::digest(document), length: document.len() as u32 };
+    Memory { term: 5, vote: Some(2), head }
+}
+
+/// What a store holds. Processes that other tests start at this moment hold its lock until they have become themselves.
+fn open(path: &Path) -> Option<(Memory, Vec<u8>)> {
+    let began = Instant::now();
+    loop {
+        match Store::open(path, 7) {
+            Err(StoreError::Taken) if began.elapsed() < Duration::from_secs(20) => {}
+            opened => return opened.expect("opened").1,
+        }
+    }
+}
+
+#[test]
+fn a_memory_is_read_as_it_was_saved_and_belongs_to_one_process_and_one_list_of_voters() {
+    let dir = folder("store");
+    let path = Store::path(&dir, "n/1");
+    assert_eq!(open(&path), None);
+    let (store, _) = Store::open(&path, 7).expect("opened");
+    assert!(matches!(Store::open(&path, 7), Err(StoreError::Taken)));
+    for version in 1..20 {
+        store.save(&memory(version, &[b'a'; 9_000]), &[b'a'; 9_000]).expect("saved");
+    }
+    drop(store);
+    assert_eq!(open(&path), Some((memory(19, &[b'a'; 9_000]), vec![b'a'; 9_000])));
+    let other = loop {
+        match Store::open(&path, 8) {
+            Err(StoreError::Taken) => {}
+            opened => break opened.err(),
+        }
+    };
+    assert!(matches!(other, Some(StoreError::OtherVoters(_))), "{other:?}");
+    std::fs::remove_dir_all(&dir).expect("taken away");
+}
+
+#[test]
+fn a_store_that_is_cut_short_or_damaged_at_any_byte_is_not_believed() {
+    let dir = folder("damage");
+    let path = Store::path(&dir, "n1");
+    let document = b"a document";
+    let (store, _) = Store::open(&path, 7).expect("opened");
+    store.save(&memory(3, document), document).expect("saved");
+    drop(store);
+    let whole = std::fs::read(&path).expect("read");
+    assert_eq!(open(&path), Some((memory(3, document), document.to_vec())));
+    for at in 0..whole.len() {
+        let mut flipped = whole.clone();
+        flipped[at] ^= 0x40;
+        for bytes in [&flipped[..], &whole[..at]] {
+            std::fs::write(&path, bytes).expect("written");
+            assert_eq!(open(&path), None, "{at}");
+            assert!(!path.exists() && path.with_extension("damaged").exists(), "it is set aside");
+        }
+    }
+    std::fs::remove_dir_all(&dir).expect("taken away");
+}
+
+#[test]
+fn a_memory_that_can_t_be_put_on_disk_is_said_to_be_so_and_the_one_before_stays() {
+    let dir = folder("full");
+    let path = Store::path(&dir, "n1");
+    let (store, _) = Store::open(&path, 7).expect("opened");
+    store.save(&memory(1, b"one"), b"one").expect("saved");
+    // Nothing can be written beside it.
+    std::fs::create_dir(path.with_extension("voter-new")).expect("a folder in its place");
+    assert!(matches!(store.save(&memory(2, b"two"), b"two"), Err(StoreError::Disk(..))));
+    drop(store);
+    assert_eq!(open(&path), Some((memory(1, b"one"), b"one".to_vec())));
+    std::fs::remove_dir_all(&dir).expect("taken away");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(46), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_bytes_are_taken_for_a_memory_and_no_text_for_a_document(
+        bytes in proptest::collection::vec(any::<u8>(), 0..200),
+        text in "[{}a-z\":,0-9\\[\\] ]{0,60}",
+    ) {
+        prop_assert_eq!(parse(&bytes), None);
+        let file = Config::of_file(config("127.0.0.1:9000", "127.0.0.1:8500"), |_| None).expect("fine");
+        for document in [Document::parse(&bytes), Document::parse(text.as_bytes())].into_iter().flatten() {
+            prop_assert!(document.check(&file).is_err());
+        }
+    }
+}
