--- a/crates/alderstile-node/tests/agreed.rs
+++ b/crates/alderstile-node/tests/agreed.rs
@@ -337,6 +337,54 @@
     fleet.counts(&[1, 2, 3, 4], 2);
 }
 
+#[test]
+fn the_process_that_takes_a_voter_over_hears_of_versions_beside_it_and_votes_once_it_has_ended() {
+    let mut fleet = Fleet::new(88, 3, 3);
+    assert_eq!(fleet.agree(2, &with_attempts(2)), 1);
+    fleet.counts(&[1, 2, 3], 1);
+    fleet.kill(1);
+    // The two find each other by a folder; its path has to be short.
+    let shared = std::env::temp_dir().join(format!("alderstile-agreed-{}", std::process::id()));
+    std::fs::create_dir_all(&shared).expect("a folder");
+    let begin = |admin: &str| {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_alderstile"));
+        program
+            .arg("serve")
+            .arg("--config")
+            .arg(fleet.file(1, "json"))
+            .arg("--cluster")
+            .arg(fleet.file(1, "toml"));
+        program.env("TMPDIR", &shared).env("ROUTER_ADMIN_ADDR", admin).env_remove("RUST_LOG");
+        program.stderr(Stdio::null()).spawn().expect("started")
+    };
+    let show = |admin: &str| {
+        let admin = admin.parse().expect("an address");
+        alderstile_node::agreed_client::show(admin).ok()
+    };
+    let until = |admin: &str, what: &str, wanted: &dyn Fn(&Shown) -> bool| {
+        let began = Instant::now();
+        while !show(admin).is_some_and(|shown| wanted(&shown)) {
+            assert!(began.elapsed() < Duration::from_secs(60), "{what}: {:?}", show(admin));
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    };
+    let counts = |shown: &Shown| shown.in_force == 1 && shown.standing == "counts";
+    let (first, second) = (fleet.at(1, 19_004), fleet.at(1, 19_005));
+    let mut old = begin(&first);
+    until(&first, "a voter", &|shown| counts(shown) && shown.voter.is_some());
+    let mut new = begin(&second);
+    until(&second, "without a vote", &|shown| counts(shown) && shown.voter.is_none());
+    let pid = old.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("sent").success());
+    assert!(old.wait().expect("ended").success());
+    until(&second, "a voter", &|shown| {
+        counts(shown) && shown.voter.as_deref().is_some_and(|voter| voter != "learner")
+    });
+    new.kill().expect("killed");
+    new.wait().expect("ended");
+    std::fs::remove_dir_all(&shared).expect("taken away");
+}
+
 /// A node that is the only voter, in this process.
 async fn alone(net: u8, hosts: &[&Host]) -> (Setup, Peer, Rc<Control>, PathBuf) {
     let (setup, watch) = serving(hosts).await;
