Tests of agreed settings: a failing disk is seen at once, no process of a test outlives it; what each test guards was tried

Cause: two gaps. With forget() taken away no test failed: the test of a failing disk now looks at the voter's role.

--- a/crates/alderstile-cluster/tests/agreed.rs
+++ b/crates/alderstile-cluster/tests/agreed.rs
@@ -586,6 +586,11 @@
     net.run(2.0);
     net.propose(5, 2, 1, b"two");
     net.run(8.0);
+    assert_eq!(
+        net.core(1).map(Agreed::role),
+        Some(Some(Role::Learner)),
+        "it says nothing by what is not on disk"
+    );
     let two = net.outcomes.get(&2);
     assert!(two.is_none_or(|two| *two == Outcome::Agreed(2)), "{two:?}");
     net.propose(5, 3, 1, b"two");
--- a/crates/alderstile-node/tests/agreed.rs
+++ b/crates/alderstile-node/tests/agreed.rs
@@ -207,6 +207,16 @@
     }
 }
 
+/// A process that ends with its owner.
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.kill().unwrap_or_default();
+        let _ = self.0.wait();
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.running.iter_mut().flatten() {
@@ -355,7 +365,7 @@
             .arg("--cluster")
             .arg(fleet.file(1, "toml"));
         program.env("TMPDIR", &shared).env("ROUTER_ADMIN_ADDR", admin).env_remove("RUST_LOG");
-        program.stderr(Stdio::null()).spawn().expect("started")
+        Ended(program.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("started"))
     };
     let show = |admin: &str| {
         let admin = admin.parse().expect("an address");
@@ -372,16 +382,14 @@
     let (first, second) = (fleet.at(1, 19_004), fleet.at(1, 19_005));
     let mut old = begin(&first);
     until(&first, "a voter", &|shown| counts(shown) && shown.voter.is_some());
-    let mut new = begin(&second);
+    let _new = begin(&second);
     until(&second, "without a vote", &|shown| counts(shown) && shown.voter.is_none());
-    let pid = old.id().to_string();
+    let pid = old.0.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("sent").success());
-    assert!(old.wait().expect("ended").success());
+    assert!(old.0.wait().expect("ended").success());
     until(&second, "a voter", &|shown| {
         counts(shown) && shown.voter.as_deref().is_some_and(|voter| voter != "learner")
     });
-    new.kill().expect("killed");
-    new.wait().expect("ended");
     std::fs::remove_dir_all(&shared).expect("taken away");
 }
 
