--- a/crates/alderstile-node/tests/lease.rs
+++ b/crates/alderstile-node/tests/lease.rs
@@ -256,7 +256,7 @@
         let (setup, watch) = serving(&[&hosts[0]]).await;
         let heard = Instant::now();
         drop(watch);
-        beside(turn_away(&setup.discovery, Duration::from_millis(700)), async {
+        let _stays = beside(turn_away(&setup.discovery, Duration::from_millis(700)), async {
             sleep_until(heard + Duration::from_millis(5_000)).await;
             assert!(setup.node.decisions.lease_left() > Micros(0), "called it run out too early");
             sleep_until(heard + Duration::from_millis(6_100)).await;
@@ -267,6 +267,8 @@
             server.line().await.expect("the first line");
             server.send("UP 03\r\n").await;
             assert_eq!(old.line().await.as_deref(), Some("UP 03"));
+            // A host that drops all it holds would rest when it is given back.
+            (old, server)
         })
         .await;
         // Its list comes, and it serves again, the host of before included.
