An interrupted scale run ends there, with what was measured

Cause: scale::run took an interrupt for a size that took too long where figures were there already, and went on with the next size (seen by hand: SIGINT in the first phases, exit status 0). Lines at fault: scale.rs, the match on what was played. Now a size that is late lets the next have its turn, one that fails or is interrupted ends the run; status 2, tables stay, processes are killed.

tests/scale.rs an_interrupt_ends_the_run...: seen to fail with the code before (status 0 after the second size, 102.8 s). Its first form interrupted before there were figures and passed with the old code too; it waits for the news now.

--- a/crates/alderstile-lab/src/scale.rs
+++ b/crates/alderstile-lab/src/scale.rs
@@ -176,6 +176,16 @@
     }
 }
 
+/// Why a size was not played to its end.
+enum Cut {
+    /// It took too long.
+    Late,
+    /// Something did not start.
+    Failed(String),
+    /// A person or a program ended it.
+    Interrupted,
+}
+
 /// Plays all sizes; each size's figures are handed to `done` as it ends.
 pub fn run(
     runs: &Runs,
@@ -186,27 +196,25 @@
     for size in &runs.sizes {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|error| error.to_string())?;
-        let rows = LocalSet::new().block_on(&runtime, async {
+        let (rows, played) = LocalSet::new().block_on(&runtime, async {
             let mut fleet = Fleet::build(runs, *size, program, parts).await?;
+            let most = Duration::from_secs_f64(runs.most_s);
             let played = tokio::select! {
-                played = timeout(Duration::from_secs_f64(runs.most_s), fleet.play()) => {
-                    played.unwrap_or_else(|_| Err(format!("{} members: not done after {} s", size.members, runs.most_s)))
-                }
-                () = interrupted() => Err("interrupted".to_owned()),
+                played = timeout(most, fleet.play()) => played.map_err(|_| Cut::Late).and_then(|played| played.map_err(Cut::Failed)),
+                () = interrupted() => Err(Cut::Interrupted),
             };
             fleet.end().await;
-            // What was measured until then stays.
-            let rows = std::mem::take(&mut fleet.rows);
-            match played {
-                Ok(()) => Ok(rows),
-                Err(error) if rows.is_empty() => Err(error),
-                Err(error) => {
-                    warn!("{error}");
-                    Ok(rows)
-                }
-            }
+            Ok::<_, String>((std::mem::take(&mut fleet.rows), played))
         })?;
+        // What was measured until then stays.
         done(*size, &rows);
+        match played {
+            Ok(()) => {}
+            // The sizes that follow are not kept from their turn.
+            Err(Cut::Late) => warn!("{} members: not done after {} s", size.members, runs.most_s),
+            Err(Cut::Failed(error)) => return Err(format!("{} members: {error}", size.members)),
+            Err(Cut::Interrupted) => return Err("interrupted".to_owned()),
+        }
     }
     Ok(())
 }
--- a/crates/alderstile-lab/tests/scale.rs
+++ b/crates/alderstile-lab/tests/scale.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use alderstile::interface::Micros;
 use alderstile_cluster::members::{Members, Seal, Settings};
@@ -17,7 +19,7 @@
 use alderstile_lab::scale::{self, Runs};
 use alderstile_lab::slopes;
 use alderstile_lab::tables::{self, Row};
-use support::{Folder, left_behind, node};
+use support::{Folder, lab, left_behind, node};
 
 const SMALL: &str = r#"
 title = "a test"
@@ -222,6 +224,43 @@
     }
 }
 
+#[test]
+fn an_interrupt_ends_the_run_with_what_was_measured_and_leaves_nothing_behind() {
+    let out = Folder::new();
+    let file = out.0.join("two.toml");
+    // Two sizes, each far longer than the test; the first has figures by the time of its news.
+    let sizes = "sizes = [{ members = 18, real = 1 }, { members = 19, real = 1 }]";
+    let text = SMALL
+        .replace("sizes = [{ members = 16, real = 2 }]", sizes)
+        .replace("quiet_s = 2.0", "quiet_s = 0.2")
+        .replace("parted_s = 6.0", "parted_s = 80.0");
+    std::fs::write(&file, text).expect("written");
+    let mut child = Command::new(lab())
+        .args(["scale", &file.display().to_string(), "--out", &out.0.display().to_string()])
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the lab");
+    let named = format!("alderstile-lab-{}-", child.id());
+    let mut said = BufReader::new(child.stderr.take().expect("its log")).lines();
+    let news = said.find(|line| line.as_ref().is_ok_and(|line| line.contains("pieces of news")));
+    assert!(news.is_some(), "it gets to the news");
+    assert!(!left_behind(&named).is_empty(), "a real node is there");
+    let last = Instant::now() + Duration::from_secs(30);
+    let pid = rustix::process::Pid::from_child(&child);
+    rustix::process::kill_process(pid, rustix::process::Signal::INT).expect("a signal");
+    let status = child.wait().expect("an end");
+    assert_eq!(status.code(), Some(2));
+    let rows = tables::read(&out.0.join("scale.csv")).expect("the first size's figures");
+    assert!(rows.iter().all(|row| row.size == 18.0) && rows.iter().any(|row| row.phase == "quiet"));
+    // The system takes killed processes away a moment later.
+    while !left_behind(&named).is_empty() {
+        assert!(Instant::now() < last, "{:?}", left_behind(&named));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(Instant::now() < last, "the second size is not begun");
+}
+
 #[test]
 fn the_examples_are_fine() {
     let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/lab");
