Permits for cold hosts are kept longer with groups, and cold hosts go first there too

nairobi-signing, join+mass: 327 nodes hold two or three connections each; a permit for a cold host was lost at its period's end. The life that the rate goes by is not the cause. At fault: permit() in src/policy.rs gave each permit its own period alone; the tie rule kept groups from cold hosts. The change: with groups a permit lasts span / q, q being the part of the nodes that would have a request for one server if all clients came again at once (connections held x servers in a group's reach / servers). Sum within a span at rate R: R x span earned in it and at most R x span / q x q kept; 2 x R x span is the stated budget at a fleet half full. Without groups nothing changes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -103,6 +103,11 @@
     shortest.unwrap_or(Micros(0)).scale(LATE_SHARE)
 }
 
+/// On how many of so many servers a group may begin, the same at all nodes.
+fn reach(servers: usize) -> usize {
+    ((servers as f64).sqrt() + GROUP_SPARE) as usize
+}
+
 /// What was told of the time that messages take at a server.
 #[derive(Clone, Copy)]
 struct Delay {
@@ -145,8 +150,9 @@
     /// When a probe last found it running.
     found: Option<Micros>,
     paused_until: Micros,
-    /// While cold: the connections that it may still be sent in this period, and parts of one.
+    /// While cold: the connections that it may still be sent, from when on they are lost, and parts of one.
     permits: u32,
+    kept_until: Micros,
     credit: f64,
     /// The load ratio last probed, and when.
     seen: Option<(f64, Micros)>,
@@ -418,7 +424,7 @@
 
     /// What this node may send a cold server in this period: what warm ones of its size take anew, for its
     /// share and the allowed multiple. Parts of a permit add up from a beginning that differs by node, so
-    /// that turns are spread; what is not used is lost: nodes that saved it could send it at once.
+    /// that turns are spread; what is not used in time is lost: nodes that saved it could send it at once.
     fn permit(&mut self, now: Micros, s: usize, held: f64) {
         let warmth = self.warmth(now, s);
         if warmth < 1.0 {
@@ -431,13 +437,26 @@
             let spare = SPARE * span / (span + period);
             let (life, spare) = if self.set.groups { (life, 1.0) } else { (life.min(cold), spare) };
             let rate = spare * held * self.size(s) * share * self.set.fall_multiple / life.max(period);
+            let kept = self.kept(now);
             let server = &mut self.servers[s];
             server.credit += (rate * period).min(LOAD_LIMIT);
-            server.permits = server.credit as u32;
-            server.credit -= f64::from(server.permits);
+            if server.credit >= 1.0 || now >= server.kept_until {
+                (server.permits, server.kept_until) = (server.credit as u32, now + kept);
+                server.credit -= f64::from(server.permits);
+            }
         }
     }
 
+    /// How long a permit is kept beyond its period. A group may begin on few servers: if all clients came again
+    /// at once, no more than this part of the nodes would have one for any one server. What they have kept
+    /// for it is then no more than a span earns, and twice a span's is what it can take (spare).
+    fn kept(&self, now: Micros) -> Micros {
+        let up = (0..self.servers.len()).filter(|&s| self.up(now, s)).count();
+        let meet = (self.conns.len().max(1) * reach(up)) as f64 / up.max(1) as f64;
+        let kept = self.set.overload_for.scale(1.0 / meet.min(1.0)).max(PERIOD) - PERIOD;
+        if self.set.groups { kept } else { Micros(0) }
+    }
+
     // ---- the record ----
 
     /// The load that this node has on a server: told loads, the usual load of its class where none was told,
@@ -728,8 +747,7 @@
         };
         let mut draws: Vec<u64> = (0..self.servers.len()).filter(reached).map(draw).collect();
         draws.sort_unstable_by(|a, b| b.cmp(a));
-        let reach = ((draws.len() as f64).sqrt() + GROUP_SPARE) as usize;
-        let last = draws.get(reach - 1).copied().unwrap_or(0);
+        let last = draws.get(reach(draws.len()) - 1).copied().unwrap_or(0);
         let near = |&s: &usize| {
             let holds = |group: GroupId| self.servers[s].groups.contains_key(&group);
             conn.request.group.is_none_or(|group| draw(s) >= last || holds(group))
@@ -754,11 +772,10 @@
             let due = (doubted || now > server.sent + self.turn()) && !self.set.tells_delay;
             let warm = self.warmth(now, s) >= 1.0;
             // Where records tie, a cold server with a permit goes first: it holds what permits let in, while
-            // warm ones that are empty here are full of what other nodes moved. A group falls alike at all.
-            let full = warm || conn.request.group.is_some();
+            // warm ones that are empty here are full of what other nodes moved.
             let due = due && warm && self.record(s) <= BAR * mean * self.power(s);
             let (tried, lot) = (conn.tried.contains(&s), lot(draw(s), self.size(s)));
-            ((tried, paused, crowded, !joins, !due, landing, full, unseen, lot), s)
+            ((tried, paused, crowded, !joins, !due, landing, warm, unseen, lot), s)
         };
         let open = (0..self.servers.len()).filter(open).filter(near);
         open.map(rank).reduce(|a, b| if b < a { b } else { a }).map(|(_, s)| s)
