--- a/src/policy.rs
+++ b/src/policy.rs
@@ -447,9 +447,9 @@
         }
     }
 
-    /// How long a permit is kept beyond its period. A group may begin on few servers: if all clients came again
-    /// at once, no more than this part of the nodes would have one for any one server. What they have kept
-    /// for it is then no more than a span earns, and twice a span's is what it can take (spare).
+    /// How long a permit is kept beyond its period. A group may begin on few servers: if all clients came
+    /// again at once, no more than this part of the nodes would have one for any one server. What they have
+    /// kept for it is then no more than a span earns, and twice a span's is what it can take (spare).
     fn kept(&self, now: Micros) -> Micros {
         let up = (0..self.servers.len()).filter(|&s| self.up(now, s)).count();
         let meet = (self.conns.len().max(1) * reach(up)) as f64 / up.max(1) as f64;
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -33,7 +33,7 @@
     restarts: bool,
 }
 
-/// A connection: its node and number, and whether it is up.
+/// A connection: its node and number.
 struct Client {
     node: usize,
     id: u64,
@@ -169,13 +169,6 @@
     for seed in seeds {
         for fleet in fleets(nodes) {
             let sent = play(fleet, seed);
-            if std::env::var("SHOW").is_ok() {
-                println!(
-                    "{fleet:?} {} {:.1}",
-                    sent.iter().map(Vec::len).sum::<usize>(),
-                    sent.iter().map(|t| excess(fleet, t)).fold(f64::NEG_INFINITY, f64::max)
-                );
-            }
             all += sent.iter().map(Vec::len).sum::<usize>();
             for times in &sent {
                 let excess = excess(fleet, times);
@@ -186,7 +179,7 @@
             }
         }
     }
-    println!("{nodes} nodes: {all} calls to cold servers, {} over, the highest {most:.1} beyond", over.len());
+    println!("{nodes} nodes: {all} calls to cold servers, {} over, at most {most:.1} beyond", over.len());
     assert!(over.is_empty(), "{over:#?}");
     assert!(all > 0, "cold servers get work");
 }
@@ -215,3 +208,21 @@
 fn three_hundred_nodes_keep_the_budget() {
     keeps(300, 1..2);
 }
+
+#[test]
+#[ignore = "a longer search: COLD_SEEDS=100..140 cargo test --test cold -- --ignored --nocapture"]
+fn the_budget_is_kept_on_more_seeds() {
+    let seeds = std::env::var("COLD_SEEDS").unwrap_or("100..110".into());
+    let (from, to) = seeds.split_once("..").expect("from..to");
+    let seeds = from.parse().expect("a number")..to.parse().expect("a number");
+    [1, 5, 20, 30, 300].into_iter().for_each(|nodes| keeps(nodes, seeds.clone()));
+}
+
+#[test]
+fn nodes_with_few_requests_use_what_they_may_send_a_cold_server_where_groups_are() {
+    // Found with 327 nodes (nairobi-signing, join+mass): 54 new servers got 57 of 1,400 connections, as a permit
+    // was lost after a second and a node has a request every few seconds.
+    let fleet = Fleet { nodes: 300, held: 1_500, groups: true, burst: None, restarts: false };
+    let calls: usize = (1..=3).flat_map(|seed| play(fleet, seed)).map(|times| times.len()).sum();
+    assert!(calls >= 100, "{calls} calls to four cold servers, three times");
+}
