A started server's first permits are those that would be kept by then, with groups

At fault: permit() in src/policy.rs, which began with one period's. The change: the first time after a start, a period and the time for which permits are kept count as earned, where groups share work; the part of the nodes that would meet on one server is 1 - (1 - reach/servers)^connections in place of its upper bound.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -387,6 +387,7 @@
             // A process that starts anew has no history.
             (server.slowness, server.delay, server.limit, server.above) = (0.0, None, None, 0);
             (server.failures, server.shut, server.permits, server.paused_until) = (0, false, 0, Micros(0));
+            server.kept_until = Micros(0);
         }
         let server = &mut self.servers[s];
         server.entry = entry;
@@ -439,7 +440,9 @@
             let rate = spare * held * self.size(s) * share * self.set.fall_multiple / life.max(period);
             let kept = self.kept(now);
             let server = &mut self.servers[s];
-            server.credit += (rate * period).min(LOAD_LIMIT);
+            // What would be kept by now is there at the first, when most clients of those before come again.
+            let first = if server.kept_until == Micros(0) { kept.as_secs_f64() } else { 0.0 };
+            server.credit += (rate * (period + first)).min(LOAD_LIMIT);
             if server.credit >= 1.0 || now >= server.kept_until {
                 (server.permits, server.kept_until) = (server.credit as u32, now + kept);
                 server.credit -= f64::from(server.permits);
@@ -452,8 +455,9 @@
     /// kept for it is then no more than a span earns, and twice a span's is what it can take (spare).
     fn kept(&self, now: Micros) -> Micros {
         let up = (0..self.servers.len()).filter(|&s| self.up(now, s)).count();
-        let meet = (self.conns.len().max(1) * reach(up)) as f64 / up.max(1) as f64;
-        let kept = self.set.overload_for.scale(1.0 / meet.min(1.0)).max(PERIOD) - PERIOD;
+        let elsewhere = 1.0 - (reach(up) as f64 / up.max(1) as f64).min(1.0);
+        let meet = 1.0 - elsewhere.powi(self.conns.len().max(1) as i32);
+        let kept = self.set.overload_for.scale(1.0 / meet).max(PERIOD) - PERIOD;
         if self.set.groups { kept } else { Micros(0) }
     }
 
