The own zone draws more only while nothing warms up, and not where groups share work

At fault: draw() in src/policy.rs let the own zone's hosts count three times also while most of them are cold: what moved met on its few warm ones. Change: the preference holds while no ready server is cold, and not where groups share work (their draw falls alike at all nodes).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -209,6 +209,8 @@
     doubted: BTreeSet<u32>,
     /// Saved probes of what is called gone.
     probe_tokens: f64,
+    /// How much more a server in the own zone draws.
+    near: f64,
     /// Log lines that this period may still write.
     log_left: u32,
     late_at: Micros,
@@ -246,6 +248,7 @@
             lists: 0,
             doubted: BTreeSet::new(),
             probe_tokens: PROBE_CAP,
+            near: 1.0,
             log_left: LOG_LINES,
         }
     }
@@ -348,6 +351,7 @@
             self.listed(now, entry);
         }
         self.doubt(now);
+        self.weigh_zones(now);
     }
 
     fn listed(&mut self, now: Micros, entry: ServerEntry) {
@@ -511,8 +515,14 @@
     /// What a server draws beside others that are as fast: by its listed size, and more in the own zone.
     /// Guards against a way between zones that is slow, cut or charged for.
     fn draw(&self, s: usize) -> f64 {
-        let own = self.set.prices.cross_zone > 0.0 && self.servers[s].entry.zone == self.set.zone;
-        self.size(s) * if own { NEAR } else { 1.0 }
+        self.size(s) * if self.servers[s].entry.zone == self.set.zone { self.near } else { 1.0 }
+    }
+
+    /// Only while nothing warms up: what moved is to reach all that can take it. Not where groups share work:
+    /// their draw falls alike at all nodes, and a copy of a group for each zone costs more than crossings.
+    fn weigh_zones(&mut self, now: Micros) {
+        let cold = (0..self.servers.len()).any(|s| self.up(now, s) && self.warmth(now, s) < 1.0);
+        self.near = if self.set.prices.cross_zone > 0.0 && !cold && !self.set.groups { NEAR } else { 1.0 };
     }
 
     /// The usual load of a class.
@@ -1009,6 +1019,7 @@
             }
         }
         self.doubt(now);
+        self.weigh_zones(now);
         if self.set.probes {
             self.probe_gone(now, out);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1595,3 +1595,23 @@
     }
     assert!(refused > 0, "what may have been work is counted");
 }
+
+#[test]
+fn the_own_zone_draws_no_more_while_a_server_warms_up_or_where_groups_share_work() {
+    // Found on the day on which 54 of 90 hosts are replaced: what moved met on the few warm hosts of its node's zone.
+    let prices = Prices { cross_zone: 0.03, ..Prices::default() };
+    let near_and_far = |node: &Node| {
+        let counts = counts(node, 1..81);
+        let of = |ids: [u64; 2]| ids.iter().map(|id| counts.get(id).copied().unwrap_or(0)).sum::<usize>();
+        (of([2, 4]), of([1, 3]))
+    };
+    let mut node = Node::new(Settings { prices, ..settings() }, 4);
+    let started = Some(node.now);
+    node.list(ListKind::Delta, vec![ServerEntry { started, ..entry(5) }]);
+    node.fill(1, 80);
+    let (near, far) = near_and_far(&node);
+    assert!(near.abs_diff(far) <= 2, "{near} near, {far} far");
+    let mut node = Node::new(Settings { prices, groups: true, ..settings() }, 4);
+    node.fill(1, 80);
+    assert_eq!(near_and_far(&node), (40, 40));
+}
