Read again: a field's comment stands at its field; Seal stands twice, on the roadmap

Two comment lines of Policy were in one place, so that the first spoke of the wrong field. Found besides and not mended now: agreed/wire.rs and members/wire.rs each have the same Seal (name, keys, MAC); joining them wants both crates' tests run.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -192,9 +192,9 @@
     usual_setup_ms: Mean,
     /// What warm servers usually held of late, as [`Policy::held`].
     usual_held: Mean,
-    /// Requests taken a second, usually, and in this period so far; attempts that are out.
     /// The share of set-ups that ran into their time-out.
     unanswered: Mean,
+    /// Requests taken a second, usually, and in this period so far; attempts that are out.
     usual_taken: Mean,
     taken: u32,
     trying: u32,
