--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -206,7 +206,9 @@
     def __init__(self, folder, seconds=110):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(folder)
-        self.folder = tempfile.mkdtemp(prefix="review-")
+        # Short, as the system limits the length of a socket's path and a node leaves sockets in its folder.
+        short = len(tempfile.gettempdir()) < 40 or not os.access("/tmp", os.W_OK)
+        self.folder = tempfile.mkdtemp(prefix="review-", dir=None if short else "/tmp")
         self.seconds = seconds
         self.processes = []
         self.random = random.Random(1)
@@ -408,6 +410,8 @@
         rig.record.say(f"could not run: {reason}")
     except (asyncio.TimeoutError, TimeoutError):
         rig.record.say("could not run: time is over")
+    except Exception as error:
+        rig.record.say(f"could not run: {error!r}")
     finally:
         rig.close()
     print({0: "rule held", 1: "rule broken", 2: "could not run"}[code], flush=True)
