--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -16,6 +16,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "alderstile")
+LOOPBACK = "127.0.0.1"  # the only address that a case uses; records name the parties in place of addresses
 KEY = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
 
@@ -39,7 +40,7 @@
     """Returns a free loopback port that this process has not returned before."""
     while True:
         with socket.socket(socket.AF_INET, kind) as probe:
-            probe.bind(("127.0.0.1", 0))
+            probe.bind((LOOPBACK, 0))
             port = probe.getsockname()[1]
         if port not in _taken:
             _taken.add(port)
@@ -47,7 +48,7 @@
 
 
 def address(kind=socket.SOCK_STREAM):
-    return f"127.0.0.1:{free_port(kind)}"
+    return f"{LOOPBACK}:{free_port(kind)}"
 
 
 class Record:
@@ -81,7 +82,7 @@
         self.server = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, self.port)
 
     async def serve(self, reader, writer):
         self.open.add(writer)
@@ -117,7 +118,7 @@
             writer.transport.abort()
 
     def entry(self):
-        return {"host": self.name, "dial": f"127.0.0.1:{self.port}", "site": self.site, "class": "std", "block": 0,
+        return {"host": self.name, "dial": f"{LOOPBACK}:{self.port}", "site": self.site, "class": "std", "block": 0,
                 "health": self.health, "share": 1.0, "born_ms": 0}
 
 
@@ -133,20 +134,24 @@
         self.server = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, self.port)
 
     def address(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{LOOPBACK}:{self.port}"
 
     def list(self, whole, hosts):
         return json.dumps({"seq": self.seq, "whole": whole, "hosts": [host.entry() for host in hosts]})
 
+    def told(self, whole, hosts):
+        """Returns a list as the record has it, without addresses."""
+        return f"seq {self.seq}, whole {whole}, " + ", ".join(f"{host.name} {host.health}" for host in hosts)
+
     def change(self, host, health):
         self.seq += 1
         host.health, self.changed_in[host.name] = health, self.seq
         for queue in self.watches:
             queue.put_nowait(self.list(False, [host]))
-        self.record.write("discovery", f"{self.port}: {host.name} is {health}, told on {len(self.watches)} watches: {self.list(False, [host])}")
+        self.record.write("discovery", f"{self.port}: {host.name} is {health}, told on {len(self.watches)} watches: {self.told(False, [host])}")
 
     def close(self):
         """Takes no new connection, and closes the open ones."""
@@ -172,9 +177,9 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             version = int(re.search(r"index=(\d+)", request).group(1))
             changed = [host for host in self.hosts if self.changed_in[host.name] > version]
-            first = self.list(version == 0, changed) if changed else ""
-            chunk(first)
-            self.record.write("discovery", f"{self.port}: first line of the watch: {first or 'empty'}")
+            chunk(self.list(version == 0, changed) if changed else "")
+            first = self.told(version == 0, changed) if changed else "empty"
+            self.record.write("discovery", f"{self.port}: first line of the watch: {first}")
             self.watches[queue] = writer
             while not writer.is_closing():
                 await writer.drain()
@@ -211,6 +216,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-", dir=None if short else "/tmp")
         self.seconds = seconds
         self.processes = []
+        self.nodes = {}  # the name of the node at each address
         self.random = random.Random(1)
         self.next_id = 0
 
@@ -226,6 +232,7 @@
         return self.path(name)
 
     def write_config(self, node, listen, discovery, settings, known=None, zone=0):
+        self.nodes[listen] = node
         config = {"name": node, "listen": listen, "discovery": discovery, "limits": {"sockets": 1024},
                   "settings": {**settings, "my_zone": zone}}
         if known is not None:
@@ -334,7 +341,7 @@
             except (asyncio.TimeoutError, TimeoutError, ConnectionError):
                 line = ""
             word = line.split(" ")[0] or "NONE"
-            self.record.write(what, f"{id} sent OPEN c={cls} to {listen}, answered {line or 'nothing'}")
+            self.record.write(what, f"{id} sent OPEN c={cls} to {self.nodes[listen]}, answered {line or 'nothing'}")
             end = min(time.monotonic() + hold_s, end_time)
             how = "ended by itself"
             while word == "UP" and time.monotonic() < end:
