--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -494,13 +494,13 @@
     raise NotRun(f"version {version} is not in force: {standings}")
 
 
-async def start_fleet(case, names, hosts, voters=3, **control):
+async def start_fleet(case, names, hosts, voters=3, host_type=Host, **control):
     """Starts discovery, hosts, and nodes that go by agreed settings; the first nodes are the voters."""
     discovery = Discovery(case.record)
     await discovery.start()
     stand_ins = {}
     for name in hosts:
-        stand_ins[name] = await Host(name, case.record).start()
+        stand_ins[name] = await host_type(name, case.record).start()
         discovery.put(name, stand_ins[name].dial)
     cluster = Cluster(case, names, voters, **control)
     nodes = []
