--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,5 @@
 cd "$(dirname "$0")/.."
 test -x target/release/alderstile || { echo "target/release/alderstile is missing: run build of the deploy file" >&2; exit 1; }
 for file in review/lib-2/stand_ins.py review/6/case.py review/7/case.py review/8/case.py review/9/case.py review/10/case.py; do
-    [ -f "$file" ] || continue
     python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1])' "$file"
 done
--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -53,6 +53,8 @@
         return time.monotonic() - self.start
 
     def __call__(self, text):
+        # All addresses are loopback ones: the port tells them apart.
+        text = text.replace("127.0.0.1:", "port ")
         self.file.write(f"{self.now():8.3f} {text}\n")
         self.file.flush()
 
