Review: a script that fails by itself ends with 2

Cause: an error that no case expects, such as a missing program, ended python3 with 1, which says that the rule was broken.

--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -410,6 +410,11 @@
             case.record("could not run: the time was over")
             print("could not run: the time was over")
             return NOT_RUN
+        except Exception as error:
+            # A fault of the script or of its surroundings is no breach.
+            case.record(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
+            return NOT_RUN
         finally:
             await case.end()
         for breach in breaches:
