Move the upgrade channel's messages to a module of their own

Change: upgrade_message.rs holds the messages; state, messages and channel import in this order. No behaviour changes.

--- a/crates/alderstile-node/src/lifecycle/mod.rs
+++ b/crates/alderstile-node/src/lifecycle/mod.rs
@@ -6,4 +6,5 @@
 pub mod shutdown;
 pub mod upgrade;
 pub mod upgrade_channel;
+pub mod upgrade_message;
 pub mod upgrade_state;
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -19,7 +19,8 @@
 use tracing::{info, warn};
 
 use super::connection_handover;
-use super::upgrade_channel::{MESSAGE_TIMEOUT, MINOR_VERSION, UpgradeChannel, UpgradeMessage};
+use super::upgrade_channel::{MESSAGE_TIMEOUT, UpgradeChannel};
+use super::upgrade_message::{MINOR_VERSION, UpgradeMessage};
 use super::upgrade_state::UpgradeState;
 use crate::config::NodeIdentity;
 use crate::discovery::endpoint_list::server_id;
--- a/crates/alderstile-node/src/lifecycle/upgrade_state.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_state.rs
@@ -7,18 +7,21 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::upgrade_channel::is_zero;
 use crate::admin::maintenance_store::MaintenanceState;
 use crate::discovery::endpoint_list::EndpointList;
 use crate::proxy::request_ids::IdDigest;
 
+pub(super) fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// The predecessor's state, as sent in its first message. The names on the wire are those of the first
 /// version.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct UpgradeState {
     /// The version of the channel's messages.
     pub version: u32,
-    /// The predecessor's [`MINOR_VERSION`](super::upgrade_channel::MINOR_VERSION); absent from processes of
+    /// The predecessor's [`MINOR_VERSION`](super::upgrade_message::MINOR_VERSION); absent from processes of
     /// older versions.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub minor_version: u32,
--- a/crates/alderstile-node/tests/upgrade_channel.rs
+++ b/crates/alderstile-node/tests/upgrade_channel.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use alderstile_node::lifecycle::upgrade_channel::{
-    ClaimError, MAX_QUEUED_BYTES, MINOR_VERSION, UpgradeChannel, UpgradeMessage,
-};
+use alderstile_node::lifecycle::upgrade_channel::{ClaimError, MAX_QUEUED_BYTES, UpgradeChannel};
+use alderstile_node::lifecycle::upgrade_message::{MINOR_VERSION, UpgradeMessage};
 use alderstile_node::proxy::request_ids::IdDigest;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -18,7 +18,7 @@
 use alderstile_node::config::Config;
 use alderstile_node::discovery::endpoint_list::Health;
 use alderstile_node::lifecycle::connection_handover::{self as handover, HandedOverConnection};
-use alderstile_node::lifecycle::upgrade_channel::UpgradeMessage;
+use alderstile_node::lifecycle::upgrade_message::UpgradeMessage;
 use alderstile_node::node::Node;
 use alderstile_node::proxy::request_ids::IdDigest;
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
