--- a/crates/alderstile-node/src/clock.rs
+++ b/crates/alderstile-node/src/clock.rs
@@ -1,9 +1,11 @@
 //! The node's clock: monotonic, and counted from the Unix epoch so that it is comparable with the start times
-//! of hosts.
+//! of hosts. Two processes of a machine compare times by [`MachineTime`].
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use alderstile::types::Micros;
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
 
 /// A monotonic clock that reads the system time once, at its creation, and ignores later steps of it.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +39,18 @@
     }
 }
 
+/// A time of the machine's monotonic clock, in microseconds. All processes of a machine read the same clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MachineTime(pub u64);
+
+impl MachineTime {
+    /// Returns the current time.
+    pub fn now() -> Self {
+        let since_boot = Duration::try_from(clock_gettime(ClockId::Monotonic)).unwrap_or_default();
+        MachineTime(micros(since_boot).0)
+    }
+}
+
 /// Converts a duration to microseconds; one that exceeds `u64` saturates.
 pub fn micros(duration: Duration) -> Micros {
     Micros(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
--- a/crates/alderstile-node/src/config/reload.rs
+++ b/crates/alderstile-node/src/config/reload.rs
@@ -47,6 +47,16 @@
         if let Some(key) = first_missing_key(&self.source, &value) {
             return Err(SettingsError::MissingKey(key).into());
         }
+        self.adopted(value)
+    }
+
+    /// Returns the configuration that replaces this one with a file that the node's other process has
+    /// accepted. Keys may be missing that this process's own file has: both processes use their defaults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a key is unknown or invalid, or missing without a default.
+    pub fn adopted(&self, value: Value) -> Result<ReloadedConfig, ConfigError> {
         let source = without_cached_endpoints(value.clone());
         // Fixed keys are validated too.
         let new = Self::parse(value)?;
--- a/crates/alderstile-node/src/lifecycle/mod.rs
+++ b/crates/alderstile-node/src/lifecycle/mod.rs
@@ -4,6 +4,8 @@
 pub mod process;
 pub mod reload;
 pub mod shutdown;
+pub mod state_sync;
+pub mod state_update;
 pub mod upgrade;
 pub mod upgrade_channel;
 pub mod upgrade_message;
--- /dev/null
+++ b/crates/alderstile-node/src/lifecycle/state_sync.rs
@@ -0,0 +1,46 @@
+//! Keeps the values that both processes of a node act on equal during an upgrade.
+//!
+//! Each process records what the other one has of each value, and sends the present value when it differs. A
+//! value that changes several times before it is sent is therefore sent once, and nothing is queued. The
+//! receiver applies a value only if it is newer than its own, so that both end with the same one.
+
+use std::cell::Cell;
+
+use super::reload;
+use super::state_update::{ConfigUpdate, StateUpdate};
+use crate::clock::MachineTime;
+use crate::node::Node;
+
+/// What the other process has of the shared values.
+pub struct StateSync {
+    /// When the configuration was read that the other process has.
+    config_read_at: Cell<MachineTime>,
+}
+
+impl StateSync {
+    /// Creates the record of a process that has this one's present values.
+    pub fn new(node: &Node) -> Self {
+        StateSync { config_read_at: Cell::new(node.reload_times.config.get()) }
+    }
+
+    /// Returns a change that the other process does not have yet, which counts as sent from then on; `None` if
+    /// it has all.
+    pub fn next_update(&self, node: &Node) -> Option<StateUpdate> {
+        let config_read_at = node.reload_times.config.get();
+        if config_read_at > self.config_read_at.replace(config_read_at) {
+            let file = node.config().source.clone();
+            return Some(StateUpdate::Config(ConfigUpdate { read_at: config_read_at, file }));
+        }
+        None
+    }
+
+    /// Applies a change that the other process reports.
+    pub fn on_update(&self, node: &Node, update: StateUpdate) {
+        match update {
+            StateUpdate::Config(update) => {
+                self.config_read_at.set(self.config_read_at.get().max(update.read_at));
+                reload::apply_update(node, update);
+            }
+        }
+    }
+}
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -19,6 +19,7 @@
 use tracing::{info, warn};
 
 use super::connection_handover;
+use super::state_sync::StateSync;
 use super::upgrade_channel::{MESSAGE_TIMEOUT, UpgradeChannel};
 use super::upgrade_message::{MINOR_VERSION, UpgradeMessage};
 use super::upgrade_state::UpgradeState;
@@ -32,8 +33,8 @@
 /// Maximum length of a message: the state with its endpoint list and, from a process of minor version 0,
 /// request ids that may each be as long as a client's line.
 const MAX_MESSAGE_BYTES: u64 = 24 << 20;
-/// Interval at which it is checked whether the descriptors or the memory in use have changed.
-const USE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which it is checked whether a value that is reported to the other process has changed.
+const CHANGE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// The unit to which the reported memory in use is rounded up, in bytes.
 const MEMORY_REPORT_STEP: usize = 64 << 10;
 /// Number of ids of ended requests in a message.
@@ -164,9 +165,9 @@
     let (outgoing, messages) = mpsc::unbounded_channel();
     let channel = UpgradeChannel::to_predecessor(outgoing, state.descriptors_in_use, state.minor_version);
     node.process.set_other_process(Some(channel.clone()));
-    let node = node.clone();
+    let (node, sync) = (node.clone(), StateSync::new(node));
     async move {
-        exchange_messages(&node, &channel, stream, messages).await;
+        exchange_messages(&node, &channel, &sync, stream, messages).await;
         info!("upgrade channel to predecessor closed");
         node.process.predecessor_ended.notify_one();
     }
@@ -238,6 +239,7 @@
     // Set first, so that messages queued from now on follow the state.
     node.process.set_other_process(Some(channel.clone()));
     let state = UpgradeMessage::State(Box::new(node.hand_over_state(VERSION)));
+    let sync = StateSync::new(node);
     // The ids follow the state directly, so that the successor has received them before it accepts clients.
     let accepted = channel.reports_request_ends();
     let ended_ids = if accepted { node.clients.request_ids().ended() } else { Vec::new() };
@@ -246,7 +248,7 @@
         node.decisions.continue_without_successor();
         return Err(error);
     }
-    exchange_messages(node, &channel, stream, messages).await;
+    exchange_messages(node, &channel, &sync, stream, messages).await;
     node.decisions.continue_without_successor();
     info!("upgrade channel to successor closed, this process continues to serve");
     Ok(())
@@ -269,19 +271,20 @@
 async fn exchange_messages(
     node: &Node,
     channel: &UpgradeChannel,
+    sync: &StateSync,
     stream: MessageStream,
     outgoing: mpsc::UnboundedReceiver<UpgradeMessage>,
 ) {
     let MessageStream { mut reader, writer } = stream;
     let receive = async {
         while let Some(message) = read(&mut reader).await? {
-            on_message(node, channel, message).await?;
+            on_message(node, channel, sync, message).await?;
         }
         Ok(())
     };
     let ended: Result<(), ChannelError> = tokio::select! {
         received = receive => received,
-        sent = send_messages(node, channel, writer, outgoing) => sent,
+        sent = send_messages(node, channel, sync, writer, outgoing) => sent,
         () = channel.queue_full.notified() => Err(ChannelError::QueueFull),
     };
     if let Err(error) = ended {
@@ -293,10 +296,12 @@
     channel.close();
 }
 
-/// Sends queued messages, and the descriptors and the memory in use whenever they have changed.
+/// Sends queued messages, and the descriptors, the memory in use and the shared values whenever they have
+/// changed.
 async fn send_messages(
     node: &Node,
     channel: &UpgradeChannel,
+    sync: &StateSync,
     mut writer: OwnedWriteHalf,
     mut outgoing: mpsc::UnboundedReceiver<UpgradeMessage>,
 ) -> Result<(), ChannelError> {
@@ -312,7 +317,12 @@
             write(&mut writer, &UpgradeMessage::MemoryInUse(memory)).await?;
             sent_memory = Some(memory);
         }
-        if let Ok(Some(message)) = timeout(USE_CHECK_INTERVAL, outgoing.recv()).await {
+        if channel.accepts_updates()
+            && let Some(update) = sync.next_update(node)
+        {
+            write(&mut writer, &UpgradeMessage::Update(update)).await?;
+        }
+        if let Ok(Some(message)) = timeout(CHANGE_CHECK_INTERVAL, outgoing.recv()).await {
             channel.on_dequeued(&message);
             write(&mut writer, &message).await?;
         }
@@ -322,6 +332,7 @@
 async fn on_message(
     node: &Node,
     channel: &UpgradeChannel,
+    sync: &StateSync,
     message: UpgradeMessage,
 ) -> Result<(), ChannelError> {
     match message {
@@ -353,6 +364,7 @@
         UpgradeMessage::EndedIds(ids) => {
             ids.into_iter().for_each(|id| node.clients.request_ids().remember(id));
         }
+        UpgradeMessage::Update(update) => sync.on_update(node, update),
         UpgradeMessage::StoppedAccepting => channel.set_serves(false),
         UpgradeMessage::Ack { number } => channel.on_ack(number),
         UpgradeMessage::Join { .. } | UpgradeMessage::State(_) | UpgradeMessage::AlreadyJoined => {
--- a/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
@@ -149,6 +149,11 @@
         self.minor_version >= 1
     }
 
+    /// Returns whether the other process accepts changes of the values that both share.
+    pub fn accepts_updates(&self) -> bool {
+        self.minor_version >= 2
+    }
+
     /// Returns whether the other process accepts clients, so that this one may end.
     pub fn serves(&self) -> bool {
         self.serves.get()
--- a/crates/alderstile-node/src/lifecycle/upgrade_message.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_message.rs
@@ -2,13 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::state_update::StateUpdate;
 use super::upgrade_state::{UpgradeState, is_zero};
 use crate::admin::maintenance_store::MaintenanceState;
 use crate::proxy::request_ids::IdDigest;
 
 /// The version of the messages that only some processes accept. From 1 on, processes report the ends of
-/// requests and their memory in use.
-pub const MINOR_VERSION: u32 = 1;
+/// requests and their memory in use; from 2 on, changes of the values that both share.
+pub const MINOR_VERSION: u32 = 2;
 
 /// A message on the channel, one JSON line each. The names on the wire are those of its first version.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -93,6 +94,8 @@
     /// version 1 on, directly after the state.
     #[serde(rename = "ended_ids")]
     EndedIds(Vec<IdDigest>),
+    /// Reports a change of a value that both processes share. Sent from minor version 2 on.
+    Update(StateUpdate),
     /// Reports that the sender accepts no more clients.
     #[serde(rename = "closed")]
     StoppedAccepting,
--- a/crates/alderstile-node/src/node.rs
+++ b/crates/alderstile-node/src/node.rs
@@ -12,6 +12,7 @@
 use crate::decisions::Decisions;
 use crate::discovery::endpoint_list::server_id;
 use crate::lifecycle::process::Process;
+use crate::lifecycle::reload::ReloadTimes;
 use crate::lifecycle::upgrade_channel::MESSAGE_TIMEOUT;
 use crate::lifecycle::upgrade_message::MINOR_VERSION;
 use crate::lifecycle::upgrade_state::{RetryBudgetAges, UpgradeState};
@@ -29,6 +30,8 @@
     pub process: Rc<Process>,
     /// The admin interface.
     pub admin: Rc<AdminService>,
+    /// When the files were read that are in use.
+    pub reload_times: ReloadTimes,
 }
 
 impl Node {
@@ -40,7 +43,14 @@
         let clients = Rc::new(Clients::new(config.clone(), process.clone()));
         let admin = AdminService::new(config.clone(), decisions.clone(), clients.clone(), process.clone());
         decisions.apply_cached_list(&cached_endpoints);
-        Node { config, decisions, clients, process, admin: Rc::new(admin) }
+        Node {
+            config,
+            decisions,
+            clients,
+            process,
+            admin: Rc::new(admin),
+            reload_times: ReloadTimes::default(),
+        }
     }
 
     /// Returns the active configuration.
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -3,7 +3,8 @@
 //!
 //! The files under `fixtures/upgrade` and `fixtures/handover` were written by version cc53de7, apart from
 //! `join_minor_version`, `id_claimed`, `id_ended`, `ended_ids`, `claim_id`,
-//! `claim_answer`, `memory` and `hello_with_open_ids`, whose fields and messages are later additions.
+//! `claim_answer`, `memory`, `hello_with_open_ids` and those that begin with `update`, whose fields and messages
+//! are later additions.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,9 +16,11 @@
 use std::time::Duration;
 
 use alderstile_node::admin::maintenance_store::MaintenanceState;
+use alderstile_node::clock::MachineTime;
 use alderstile_node::config::Config;
 use alderstile_node::discovery::endpoint_list::Health;
 use alderstile_node::lifecycle::connection_handover::{self as handover, HandedOverConnection};
+use alderstile_node::lifecycle::state_update::StateUpdate;
 use alderstile_node::lifecycle::upgrade_message::UpgradeMessage;
 use alderstile_node::node::Node;
 use alderstile_node::proxy::request_ids::IdDigest;
@@ -78,6 +81,15 @@
     assert!(matches!(message("closed"), UpgradeMessage::StoppedAccepting));
 }
 
+#[test]
+fn updates_keep_their_bytes() {
+    let UpgradeMessage::Update(StateUpdate::Config(update)) = message("update_config") else {
+        panic!("no file")
+    };
+    assert_eq!(update.read_at, MachineTime(123_456_789));
+    assert_eq!(update.file, json!({"discovery": "127.0.0.1:7100", "name": "n1"}));
+}
+
 #[test]
 fn predecessor_state_keeps_its_bytes() {
     let UpgradeMessage::State(state) = message("hello") else { panic!("no state") };
