Write all messages to the other process before this one ends

Callers saw (test): a predecessor took a reload and was stopped right after it; the successor kept the former address of discovery.

--- a/crates/alderstile-node/src/lifecycle/shutdown.rs
+++ b/crates/alderstile-node/src/lifecycle/shutdown.rs
@@ -8,6 +8,7 @@
 use tracing::{info, warn};
 
 use super::connection_handover;
+use super::upgrade_channel::MESSAGE_TIMEOUT;
 use crate::node::Node;
 
 /// Time reserved after the migrations, in which the lines of the last clients are forwarded and their
@@ -90,6 +91,7 @@
     node.process.stop_accepting.notify_one();
     drop(accepting.await);
     wait_for_connections(&node, schedule).await;
+    flush_upgrade_channel(&node, schedule).await;
     leave_cluster(&node).await;
     node.decisions.log_shadow_differences();
     info!("shutdown complete");
@@ -106,6 +108,13 @@
     task
 }
 
+/// Sends the other process what it does not have yet: it continues as the node.
+async fn flush_upgrade_channel(node: &Node, schedule: Schedule) {
+    if let Some(other) = node.process.other_process() {
+        other.flush(MESSAGE_TIMEOUT.min(schedule.end.saturating_duration_since(Instant::now()))).await;
+    }
+}
+
 /// Leaves the cluster, unless the other process continues as the same member.
 async fn leave_cluster(node: &Node) {
     if !node.process.other_process_serves()
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -317,10 +317,10 @@
             write(&mut writer, &UpgradeMessage::MemoryInUse(memory)).await?;
             sent_memory = Some(memory);
         }
-        if channel.accepts_updates()
-            && let Some(update) = sync.next_update(node)
-        {
-            write(&mut writer, &UpgradeMessage::Update(update)).await?;
+        match channel.accepts_updates().then(|| sync.next_update(node)).flatten() {
+            Some(update) => write(&mut writer, &UpgradeMessage::Update(update)).await?,
+            None if outgoing.is_empty() => channel.on_flushed(),
+            None => {}
         }
         if let Ok(Some(message)) = timeout(CHANGE_CHECK_INTERVAL, outgoing.recv()).await {
             channel.on_dequeued(&message);
--- a/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
@@ -53,6 +53,8 @@
     /// limit their number.
     pending_claims: PendingReplies<bool>,
     queued_bytes: Cell<usize>,
+    /// Those who wait until everything has been written.
+    pending_flushes: RefCell<Vec<oneshot::Sender<()>>>,
     /// Notified when more than [`MAX_QUEUED_BYTES`] would be queued.
     pub queue_full: Notify,
 }
@@ -140,6 +142,7 @@
             pending_acks: PendingReplies::default(),
             pending_claims: PendingReplies::default(),
             queued_bytes: Cell::new(0),
+            pending_flushes: RefCell::default(),
             queue_full: Notify::new(),
         })
     }
@@ -182,6 +185,25 @@
     pub fn close(&self) {
         self.pending_acks.close();
         self.pending_claims.close();
+        self.pending_flushes.take();
+    }
+
+    /// Waits until the messages that are queued and the changes that the other process lacks are written, or
+    /// the channel is closed; for `max_wait` at most. The other process receives what is written, even if this
+    /// one ends.
+    pub async fn flush(&self, max_wait: Duration) {
+        let (sender, flushed) = oneshot::channel();
+        self.pending_flushes.borrow_mut().push(sender);
+        if timeout(max_wait, flushed).await.is_err() {
+            warn!("upgrade messages not written before the end of this process");
+        }
+    }
+
+    /// Reports that everything has been written.
+    pub fn on_flushed(&self) {
+        for pending in self.pending_flushes.take() {
+            let _ended = pending.send(());
+        }
     }
 
     /// Queues a message; it is lost if the other process has ended. The channel is closed if the other process
--- a/crates/alderstile-node/tests/upgrade_reload.rs
+++ b/crates/alderstile-node/tests/upgrade_reload.rs
@@ -175,6 +175,31 @@
     assert!(sync.next_update(&node).is_none());
 }
 
+/// Guards against a reload that is lost because the process that took it ends at once.
+#[test]
+fn reload_right_before_the_stop_of_the_predecessor_reaches_the_successor() {
+    run(async {
+        let mut upgrade = Upgrade::start("reload-stop").await;
+        let (_new, _new_watch) = upgrade.start_ready_successor().await;
+        let moved = StubDiscovery::new().await;
+        let mut value = upgrade.value.clone();
+        value["discovery"] = json!(address(&moved).to_string());
+        upgrade.reload(&upgrade.old, &value).await;
+        upgrade.old.signal("-TERM").await;
+        let ended = timeout(Duration::from_secs(5), upgrade.old.child.wait()).await;
+        assert!(ended.expect("in time").expect("ended").success());
+        // Calls that the ended process made may be queued: its connections are closed.
+        sleep(Duration::from_millis(100)).await;
+        loop {
+            let call = timeout(CALL_WAIT, moved.accept_call()).await;
+            let (_, mut call) = call.expect("the successor calls the new address");
+            if timeout(Duration::from_millis(100), call.read_line()).await.is_err() {
+                break;
+            }
+        }
+    });
+}
+
 /// Joins the process in a directory as a successor of a minor version. Returns the channel, from which the
 /// first message was read.
 async fn join(dir: &Path, minor_version: u32) -> BufReader<UnixStream> {
