Keep the version of the known list at one place

Cause: the watch carried the version from which it goes on in a variable of its own, beside the one of the endpoint table. A list that comes another way could not move it. Change: the watch asks the decisions, which know the version and from which address of discovery the list is. One difference: after an address was changed and changed back with no list from the one between, the watch goes on from the list that is held, whose version still counts there, in place of fetching it again.

--- a/crates/alderstile-node/src/decisions.rs
+++ b/crates/alderstile-node/src/decisions.rs
@@ -132,6 +132,11 @@
         Some(self.list_source.get()).filter(|source| *source != self.discovery_address())
     }
 
+    /// Returns the version of the known list; `None` if that list is from another address of discovery.
+    pub fn known_list_version(&self) -> Option<u64> {
+        self.list_from_other_discovery().is_none().then(|| self.endpoints.borrow().version())
+    }
+
     /// Applies a list received from discovery and reports it to the policy.
     pub fn apply_list(&self, list: &EndpointList) {
         self.list_source.set(self.discovery_address());
--- a/crates/alderstile-node/src/discovery/endpoint_table.rs
+++ b/crates/alderstile-node/src/discovery/endpoint_table.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns the version of the last list applied.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns whether no endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.endpoints.is_empty()
--- a/crates/alderstile-node/src/discovery/watch.rs
+++ b/crates/alderstile-node/src/discovery/watch.rs
@@ -81,15 +81,12 @@
 /// Watches discovery whenever the policy requests it, and reports each watch that ends. When discovery's
 /// address changes, the open watch or call is dropped at once, and a new one is started at the new address.
 pub async fn run(decisions: Rc<Decisions>) {
-    // The version of the known list, `None` if that list is from another address of discovery.
-    let mut version =
-        decisions.list_from_other_discovery().is_none().then(|| decisions.complete_list().version);
     loop {
         tokio::select! {
             () = decisions.list_requested.notified() => {}
-            () = decisions.discovery_address_changed.notified() => version = None,
+            () = decisions.discovery_address_changed.notified() => {}
         }
-        let (started, error) = watch_until_failure(&decisions, &mut version).await;
+        let (started, error) = watch_until_failure(&decisions).await;
         let discovery_unreachable = matches!(error, WatchError::Unreachable(_));
         decisions.on_watch_ended(WatchEnd { started, discovery_unreachable });
         discard_request(&decisions).await;
@@ -100,15 +97,14 @@
 
 /// Watches until a watch or call at the current address of discovery fails. Returns when it started and why
 /// it failed.
-async fn watch_until_failure(decisions: &Decisions, version: &mut Option<u64>) -> (Instant, WatchError) {
+async fn watch_until_failure(decisions: &Decisions) -> (Instant, WatchError) {
     loop {
         let started = Instant::now();
         tokio::select! {
-            // Polled first: if the address changes at the same time, the new one must not receive the old
-            // one's version.
+            // Polled first: if the address changes at the same time, no line of the former one is applied.
             biased;
-            () = decisions.discovery_address_changed.notified() => *version = None,
-            ended = watch(decisions, version) => return (started, ended.err().unwrap_or(WatchError::Ended)),
+            () = decisions.discovery_address_changed.notified() => {}
+            ended = watch(decisions) => return (started, ended.err().unwrap_or(WatchError::Ended)),
         }
     }
 }
@@ -125,19 +121,19 @@
 
 /// Watches from the known version. Without one, fetches the complete list first, since a watch may start with
 /// a delta.
-async fn watch(decisions: &Decisions, version: &mut Option<u64>) -> Result<(), WatchError> {
-    let known = match *version {
+async fn watch(decisions: &Decisions) -> Result<(), WatchError> {
+    let known = match decisions.known_list_version() {
         Some(known) => known,
         None => {
             let list = fetch_complete_list(decisions).await?;
             apply(decisions, &list);
             decisions.renew_lease();
-            *version.insert(list.version)
+            list.version
         }
     };
     let path = format!("/catalog/members?stream=1&index={known}");
     let (response, _connection) = call(decisions, &path, Instant::now() + CALL_TIMEOUT).await?;
-    follow(decisions, version.insert(known), response).await
+    follow(decisions, response).await
 }
 
 async fn fetch_complete_list(decisions: &Decisions) -> Result<EndpointList, WatchError> {
@@ -189,11 +185,7 @@
 }
 
 /// Applies the lines of a watch until it ends.
-async fn follow(
-    decisions: &Decisions,
-    version: &mut u64,
-    mut response: Response<Incoming>,
-) -> Result<(), WatchError> {
+async fn follow(decisions: &Decisions, mut response: Response<Incoming>) -> Result<(), WatchError> {
     // A line may be split over several HTTP chunks, and a chunk may contain several lines.
     let mut framer = JsonFramer::default();
     let (mut first_line, mut last_line_at) = (true, Instant::now());
@@ -209,24 +201,18 @@
                 return Err(WatchError::LineTooLong);
             }
             let Some(line) = line else { continue };
-            on_line(decisions, version, &line, first_line)?;
+            on_line(decisions, &line, first_line)?;
             decisions.renew_lease();
             (first_line, last_line_at) = (false, Instant::now());
         }
     }
 }
 
-fn on_line(
-    decisions: &Decisions,
-    version: &mut u64,
-    line: &[u8],
-    first_line: bool,
-) -> Result<(), WatchError> {
+fn on_line(decisions: &Decisions, line: &[u8], first_line: bool) -> Result<(), WatchError> {
     if !line.is_empty() {
         let list: EndpointList = serde_json::from_slice(line)?;
         // A delta older than the known version would undo later changes.
-        if list.complete || list.version >= *version {
-            *version = list.version;
+        if list.complete || decisions.known_list_version().is_none_or(|known| list.version >= known) {
             apply(decisions, &list);
         }
     } else if first_line {
