--- a/crates/alderstile-node/src/clock.rs
+++ b/crates/alderstile-node/src/clock.rs
@@ -13,12 +13,14 @@
     origin: Instant,
     /// The time at `origin`, counted from the Unix epoch.
     origin_unix: Micros,
+    /// The machine's time at `origin`.
+    origin_machine: MachineTime,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), origin_unix: micros(since_epoch) }
+        Clock { origin: Instant::now(), origin_unix: micros(since_epoch), origin_machine: MachineTime::now() }
     }
 }
 
@@ -37,6 +39,16 @@
     pub fn instant_at(&self, time: Micros) -> Instant {
         self.origin + Duration::from_micros((time - self.origin_unix).0)
     }
+
+    /// Converts a time of this clock to the machine's.
+    pub fn machine_time(&self, time: Micros) -> MachineTime {
+        MachineTime((Micros(self.origin_machine.0) + (time - self.origin_unix)).0)
+    }
+
+    /// Converts the machine's time to one of this clock; one before its creation counts as its creation.
+    pub fn from_machine_time(&self, time: MachineTime) -> Micros {
+        self.origin_unix + (Micros(time.0) - Micros(self.origin_machine.0))
+    }
 }
 
 /// A time of the machine's monotonic clock, in microseconds. All processes of a machine read the same clock.
--- a/crates/alderstile-node/src/decisions.rs
+++ b/crates/alderstile-node/src/decisions.rs
@@ -18,11 +18,12 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, MachineTime};
 use crate::config::{ActiveConfig, Config};
-use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::endpoint_list::{EndpointList, EndpointRecord};
 use crate::discovery::endpoint_table::{EndpointTable, HostAddress};
 use crate::discovery::lease::Lease;
+use crate::discovery::list_update::{ListComparison, ListUpdate};
 
 /// The interval at which the differences between the policy and its shadow instance are logged.
 const SHADOW_LOG_INTERVAL: Micros = Micros::from_millis(10_000);
@@ -141,12 +142,18 @@
     pub fn apply_list(&self, list: &EndpointList) {
         self.list_source.set(self.discovery_address());
         self.endpoints.borrow_mut().apply(list);
-        let kind = if list.complete { EndpointListKind::Full } else { EndpointListKind::Delta };
-        self.report_list(kind, self.entries(list));
+        self.report_list(list_kind(list), self.entries(list));
     }
 
     /// Reports a list to the policy, or, with [`EndpointListKind::Failed`], that a watch or call failed.
     pub fn report_list(&self, kind: EndpointListKind, entries: Vec<Endpoint>) {
+        self.forward_list(kind, entries);
+        // A cached list may be outdated and does not make the node ready by itself: a list or a failure must
+        // have been reported, too.
+        self.can_serve.set(self.can_serve.get() || !self.endpoints.borrow().is_empty());
+    }
+
+    fn forward_list(&self, kind: EndpointListKind, entries: Vec<Endpoint>) {
         let mut host_assignment = self.host_assignment.borrow_mut();
         self.with_balancer(|balancer, now| match &mut *host_assignment {
             None => balancer.on_endpoint_list(now, kind, entries),
@@ -159,9 +166,55 @@
                 }
             }
         });
-        // A cached list may be outdated and does not make the node ready by itself: a list or a failure must
-        // have been reported, too.
-        self.can_serve.set(self.can_serve.get() || !self.endpoints.borrow().is_empty());
+    }
+
+    /// Begins or ends the recording of changes of the endpoint list for the node's other process.
+    pub fn record_list_changes(&self, record: bool) {
+        self.endpoints.borrow_mut().record_changes(record);
+    }
+
+    /// Returns the endpoints that have changed since this was last called or the recording began.
+    pub fn take_list_changes(&self) -> Vec<EndpointRecord> {
+        self.endpoints.borrow_mut().take_changes()
+    }
+
+    /// Applies a change of the endpoint list that the node's other process has received, and shares its lease
+    /// if both have the same list then. Returns how its list compared to this one's. Does not make the node
+    /// ready: that takes an own answer of discovery.
+    pub fn apply_list_update(&self, update: &ListUpdate) -> ListComparison {
+        let comparison = update.compare(self.discovery_address(), self.known_list_version());
+        let expires = self.clock.from_machine_time(update.lease_expires);
+        if comparison == ListComparison::Newer {
+            let list = &update.list;
+            let (version, complete, endpoints) = (list.version, list.complete, list.endpoints.len());
+            info!(version, complete, endpoints, "endpoint list received from the other process");
+            self.list_source.set(update.source);
+            self.endpoints.borrow_mut().apply(list);
+            self.forward_list(list_kind(list), self.entries(list));
+        }
+        let mut lease = self.lease.borrow_mut();
+        match comparison {
+            ListComparison::Newer | ListComparison::Same => lease.set_other_process(expires),
+            ListComparison::Older | ListComparison::Unrelated => lease.shorten_other_process(expires),
+        }
+        if comparison == ListComparison::Newer && !lease.is_valid(self.clock.now()) {
+            lease.forget_withheld();
+        }
+        drop(lease);
+        self.release_withheld();
+        self.wake.notify_one();
+        comparison
+    }
+
+    /// Shortens the lease after the node's other process has ended.
+    pub fn on_other_process_ended(&self) {
+        self.lease.borrow_mut().on_other_process_ended(self.clock.now());
+        self.wake.notify_one();
+    }
+
+    /// Returns the end of the lease on the endpoint list by what this process has received.
+    pub fn own_lease_expires(&self) -> MachineTime {
+        self.clock.machine_time(self.lease.borrow().own_expires())
     }
 
     fn entries(&self, list: &EndpointList) -> Vec<Endpoint> {
@@ -219,15 +272,16 @@
     /// Renews the lease on the endpoint list, as no change was missed until now. Hosts that were withheld
     /// receive new requests again.
     pub fn renew_lease(&self) {
-        let now = self.clock.now();
-        let mut lease = self.lease.borrow_mut();
-        lease.renew(now);
-        let released = lease.release_withheld(now);
-        drop(lease);
+        self.lease.borrow_mut().renew(self.clock.now());
+        self.release_withheld();
+    }
+
+    fn release_withheld(&self) {
+        let released = self.lease.borrow_mut().release_withheld(self.clock.now());
         if !released.is_empty() {
             info!(hosts = released.len(), "endpoint list lease renewed, new requests to hosts resumed");
             let changes = self.endpoints.borrow().changes(&released);
-            self.report_list(EndpointListKind::Delta, self.entries(&changes));
+            self.forward_list(EndpointListKind::Delta, self.entries(&changes));
         }
     }
 
@@ -357,6 +411,10 @@
     }
 }
 
+fn list_kind(list: &EndpointList) -> EndpointListKind {
+    if list.complete { EndpointListKind::Full } else { EndpointListKind::Delta }
+}
+
 /// Sleeps until a deadline; never completes without one.
 pub async fn sleep_until(deadline: Option<Instant>) {
     match deadline {
--- a/crates/alderstile-node/src/discovery/endpoint_list.rs
+++ b/crates/alderstile-node/src/discovery/endpoint_list.rs
@@ -23,7 +23,7 @@
 }
 
 /// One host of an endpoint list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 pub struct EndpointRecord {
     /// The name of the host, the same at every node.
     #[serde(rename = "host")]
@@ -77,6 +77,19 @@
 }
 
 impl EndpointRecord {
+    /// Returns the record of a host that no longer exists.
+    pub fn removed(name: String) -> Self {
+        EndpointRecord {
+            name,
+            address: None,
+            zone: String::new(),
+            cell: 0,
+            health: Health::Removed,
+            weight: 0.0,
+            started_ms: 0,
+        }
+    }
+
     fn entry(&self, zones: &[String]) -> Endpoint {
         let zone = zones.iter().position(|zone| *zone == self.zone);
         Endpoint {
--- a/crates/alderstile-node/src/discovery/endpoint_table.rs
+++ b/crates/alderstile-node/src/discovery/endpoint_table.rs
@@ -22,6 +22,8 @@
 pub struct EndpointTable {
     version: u64,
     endpoints: BTreeMap<ServerId, (HostAddress, EndpointRecord)>,
+    /// The names of the hosts that have changed; `None` while changes are not recorded.
+    changed: Option<BTreeSet<String>>,
 }
 
 impl EndpointTable {
@@ -29,12 +31,13 @@
     pub fn apply(&mut self, list: &EndpointList) {
         self.version = list.version;
         if list.complete {
-            let named: BTreeSet<_> =
-                list.endpoints.iter().map(|endpoint| server_id(&endpoint.name)).collect();
-            self.endpoints.retain(|id, _| named.contains(id));
+            self.remove_unlisted(list);
         }
         for endpoint in &list.endpoints {
             let id = server_id(&endpoint.name);
+            if self.endpoints.get(&id).is_none_or(|(_, known)| known != endpoint) {
+                self.record_change(&endpoint.name);
+            }
             match endpoint.address {
                 Some(address) if endpoint.health != Health::Removed => {
                     let host = HostAddress { name: endpoint.name.as_str().into(), address };
@@ -47,6 +50,22 @@
         }
     }
 
+    fn remove_unlisted(&mut self, list: &EndpointList) {
+        let listed: BTreeSet<_> = list.endpoints.iter().map(|endpoint| server_id(&endpoint.name)).collect();
+        let unlisted: Vec<_> = self.endpoints.keys().filter(|id| !listed.contains(id)).copied().collect();
+        for id in unlisted {
+            if let Some((host, _)) = self.endpoints.remove(&id) {
+                self.record_change(&host.name);
+            }
+        }
+    }
+
+    fn record_change(&mut self, name: &str) {
+        if let Some(changed) = &mut self.changed {
+            changed.insert(name.to_owned());
+        }
+    }
+
     /// Returns the version of the last list applied.
     pub fn version(&self) -> u64 {
         self.version
@@ -79,4 +98,20 @@
         let endpoints = known.map(|(_, endpoint)| endpoint.clone()).collect();
         EndpointList { version: 0, complete: false, endpoints }
     }
+
+    /// Begins or ends the recording of changes. Recorded changes are forgotten.
+    pub fn record_changes(&mut self, record: bool) {
+        self.changed = record.then(BTreeSet::new);
+    }
+
+    /// Returns the endpoints that have changed since this was last called, each as it is now; one that is no
+    /// longer listed is returned as removed.
+    pub fn take_changes(&mut self) -> Vec<EndpointRecord> {
+        let changed = self.changed.as_mut().map(std::mem::take).unwrap_or_default();
+        let as_listed = |name: String| {
+            let listed = self.endpoints.get(&server_id(&name)).map(|(_, endpoint)| endpoint.clone());
+            listed.unwrap_or_else(|| EndpointRecord::removed(name))
+        };
+        changed.into_iter().map(as_listed).collect()
+    }
 }
--- a/crates/alderstile-node/src/discovery/lease.rs
+++ b/crates/alderstile-node/src/discovery/lease.rs
@@ -20,8 +20,11 @@
 /// The lease on the endpoint list.
 #[derive(Debug)]
 pub struct Lease {
-    /// The end of the lease: no change that was missed counts as notified before this time.
-    expires: Micros,
+    /// The end of the lease by what this process has received: no change that was missed counts as notified
+    /// before this time.
+    own_expires: Micros,
+    /// The same by what the node's other process has received, whose list this process has, too.
+    other_process_expires: Option<Micros>,
     /// Where lists are pushed to a local agent: how long a host may receive new requests after its drain was
     /// announced. While no watch is open, a change counts as notified as soon as the agent has it.
     push_grace: Option<Micros>,
@@ -38,16 +41,22 @@
     /// period after a drain where lists are pushed, and `None` where they are not.
     pub fn new(now: Micros, push_grace: Option<Micros>) -> Self {
         let mut lease = Lease {
-            expires: now,
+            own_expires: now,
+            other_process_expires: None,
             push_grace,
             discovery_address_changed: false,
             last_accepted: BTreeMap::new(),
             withheld: BTreeSet::new(),
         };
-        lease.expires = now + lease.notification_bound();
+        lease.own_expires = now + lease.notification_bound();
         lease
     }
 
+    /// Returns the end of the lease: that of the process that was the last to prove that no change was missed.
+    fn expires(&self) -> Micros {
+        self.other_process_expires.map_or(self.own_expires, |other| other.max(self.own_expires))
+    }
+
     /// Returns how long after discovery had a change, and was reachable, a node without a watch counts as
     /// notified of it.
     fn notification_bound(&self) -> Micros {
@@ -65,34 +74,60 @@
     /// missed until now.
     pub fn renew(&mut self, now: Micros) {
         self.discovery_address_changed = false;
-        self.expires = now + NOTIFICATION_BOUND;
+        self.own_expires = now + NOTIFICATION_BOUND;
     }
 
     /// Shortens the lease after the watch has ended.
     pub fn on_watch_ended(&mut self, now: Micros) {
-        self.expires = self.expires.min(now + self.notification_bound());
+        self.own_expires = self.own_expires.min(now + self.notification_bound());
     }
 
     /// Shortens the lease after discovery's address has changed.
     pub fn on_discovery_address_changed(&mut self, now: Micros) {
         self.discovery_address_changed = true;
-        self.expires = self.expires.min(now + self.notification_bound());
+        self.on_watch_ended(now);
+        self.on_other_process_ended(now);
     }
 
     /// Extends the lease after a call that started at `call_started` could not connect: discovery could not
     /// have notified this node before that time.
     pub fn on_discovery_unreachable(&mut self, call_started: Micros) {
-        self.expires = self.expires.max(call_started + self.notification_bound());
+        self.own_expires = self.own_expires.max(call_started + self.notification_bound());
     }
 
     /// Shortens the lease to the time that remained of the predecessor's.
     pub fn inherit(&mut self, now: Micros, remaining: Micros) {
-        self.expires = self.expires.min(now + remaining);
+        self.own_expires = self.own_expires.min(now + remaining);
+    }
+
+    /// Sets the end of the other process's lease. This process must have that process's list or a newer one.
+    pub fn set_other_process(&mut self, expires: Micros) {
+        self.other_process_expires = Some(expires);
+    }
+
+    /// Shortens the other process's lease: by what that process reports, it ends at `expires`.
+    pub fn shorten_other_process(&mut self, expires: Micros) {
+        self.other_process_expires = self.other_process_expires.map(|other| other.min(expires));
+    }
+
+    /// Shortens the other process's lease after that process, and its watch, has ended.
+    pub fn on_other_process_ended(&mut self, now: Micros) {
+        self.shorten_other_process(now + self.notification_bound());
+    }
+
+    /// Returns the end of the lease by what this process has received.
+    pub fn own_expires(&self) -> Micros {
+        self.own_expires
+    }
+
+    /// Returns whether the lease is valid.
+    pub fn is_valid(&self, now: Micros) -> bool {
+        now < self.expires()
     }
 
     /// Returns the remaining time of the lease, 0 after it has expired.
     pub fn remaining(&self, now: Micros) -> Micros {
-        self.expires - now
+        self.expires() - now
     }
 
     /// Records that a host accepted a request sent to it at the time `sent`, and so was not draining then.
@@ -103,7 +138,7 @@
     /// Returns whether a host that is listed as up may receive new requests.
     pub fn allows_new_work(&self, now: Micros, host: ServerId) -> bool {
         let proof_expires = |sent: &Micros| *sent + self.notification_bound();
-        now < self.expires || self.last_accepted.get(&host).is_some_and(|sent| now < proof_expires(sent))
+        self.is_valid(now) || self.last_accepted.get(&host).is_some_and(|sent| now < proof_expires(sent))
     }
 
     /// Withholds new requests from the listed hosts that [`Lease::allows_new_work`] no longer allows, and
@@ -119,13 +154,19 @@
 
     /// Returns the withheld hosts and releases them if the lease is valid; returns none if it has expired.
     pub fn release_withheld(&mut self, now: Micros) -> BTreeSet<ServerId> {
-        if now < self.expires { std::mem::take(&mut self.withheld) } else { BTreeSet::new() }
+        if self.is_valid(now) { std::mem::take(&mut self.withheld) } else { BTreeSet::new() }
+    }
+
+    /// Forgets which hosts are withheld, so that [`Lease::withhold_expired`] withholds them again: a list from
+    /// the other process may have listed them as up.
+    pub fn forget_withheld(&mut self) {
+        self.withheld.clear();
     }
 
     /// Returns when [`Lease::withhold_expired`] is due next.
     pub fn next_due(&self, now: Micros) -> Option<Micros> {
-        if now < self.expires {
-            return Some(self.expires);
+        if self.is_valid(now) {
+            return Some(self.expires());
         }
         let bound = self.notification_bound();
         self.last_accepted.values().map(|sent| *sent + bound).filter(|due| *due > now).min()
--- a/crates/alderstile-node/src/discovery/mod.rs
+++ b/crates/alderstile-node/src/discovery/mod.rs
@@ -5,4 +5,5 @@
 pub mod endpoint_table;
 pub mod json_framer;
 pub mod lease;
+pub mod list_update;
 pub mod watch;
--- a/crates/alderstile-node/src/discovery/watch.rs
+++ b/crates/alderstile-node/src/discovery/watch.rs
@@ -126,9 +126,14 @@
         Some(known) => known,
         None => {
             let list = fetch_complete_list(decisions).await?;
-            apply(decisions, &list);
+            // The other process may have sent a newer list since the call began.
+            let newer = decisions.known_list_version().filter(|known| *known > list.version);
+            match newer {
+                Some(_) => decisions.report_list(EndpointListKind::Delta, Vec::new()),
+                None => apply(decisions, &list),
+            }
             decisions.renew_lease();
-            list.version
+            newer.unwrap_or(list.version)
         }
     };
     let path = format!("/catalog/members?stream=1&index={known}");
--- a/crates/alderstile-node/src/lifecycle/mod.rs
+++ b/crates/alderstile-node/src/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Process lifecycle: shutdown, configuration reload, and upgrade to another process of the same node.
 
 pub mod connection_handover;
+pub mod list_sync;
 pub mod process;
 pub mod reload;
 pub mod shutdown;
--- a/crates/alderstile-node/src/lifecycle/state_sync.rs
+++ b/crates/alderstile-node/src/lifecycle/state_sync.rs
@@ -4,8 +4,9 @@
 //! value that changes several times before it is sent is therefore sent once, and nothing is queued. The
 //! receiver applies a value only if it is newer than its own, so that both end with the same one.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
+use super::list_sync::{ListSync, UpdateTooLong};
 use super::reload;
 use super::state_update::{ConfigUpdate, StateUpdate};
 use crate::clock::MachineTime;
@@ -15,32 +16,47 @@
 pub struct StateSync {
     /// When the configuration was read that the other process has.
     config_read_at: Cell<MachineTime>,
+    list: RefCell<ListSync>,
 }
 
 impl StateSync {
     /// Creates the record of a process that has this one's present values.
     pub fn new(node: &Node) -> Self {
-        StateSync { config_read_at: Cell::new(node.reload_times.config.get()) }
+        StateSync {
+            config_read_at: Cell::new(node.reload_times.config.get()),
+            list: RefCell::new(ListSync::new(&node.decisions)),
+        }
     }
 
     /// Returns a change that the other process does not have yet, which counts as sent from then on; `None` if
     /// it has all.
     pub fn next_update(&self, node: &Node) -> Option<StateUpdate> {
+        let mut list = self.list.borrow_mut();
+        if list.is_sending() {
+            return list.next_update(&node.decisions).map(StateUpdate::List);
+        }
         let config_read_at = node.reload_times.config.get();
         if config_read_at > self.config_read_at.replace(config_read_at) {
             let file = node.config().source.clone();
             return Some(StateUpdate::Config(ConfigUpdate { read_at: config_read_at, file }));
         }
-        None
+        list.next_update(&node.decisions).map(StateUpdate::List)
     }
 
     /// Applies a change that the other process reports.
-    pub fn on_update(&self, node: &Node, update: StateUpdate) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an endpoint list is longer than any real one.
+    pub fn on_update(&self, node: &Node, update: StateUpdate) -> Result<(), UpdateTooLong> {
         match update {
             StateUpdate::Config(update) => {
                 self.config_read_at.set(self.config_read_at.get().max(update.read_at));
                 reload::apply_update(node, update);
+                self.list.borrow_mut().forget_known();
             }
+            StateUpdate::List(update) => self.list.borrow_mut().on_update(&node.decisions, update)?,
         }
+        Ok(())
     }
 }
--- a/crates/alderstile-node/src/lifecycle/state_update.rs
+++ b/crates/alderstile-node/src/lifecycle/state_update.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 
 use crate::clock::MachineTime;
+use crate::discovery::list_update::ListUpdate;
 
 /// A change of a shared value.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -12,6 +13,8 @@
 pub enum StateUpdate {
     /// A configuration file was applied at a reload.
     Config(ConfigUpdate),
+    /// The endpoint list or its lease has changed.
+    List(ListUpdate),
 }
 
 /// A configuration file that the sender has applied at a reload.
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -19,6 +19,7 @@
 use tracing::{info, warn};
 
 use super::connection_handover;
+use super::list_sync::UpdateTooLong;
 use super::state_sync::StateSync;
 use super::upgrade_channel::{MESSAGE_TIMEOUT, UpgradeChannel};
 use super::upgrade_message::{MINOR_VERSION, UpgradeMessage};
@@ -59,6 +60,8 @@
     UnexpectedMessage,
     #[error("the other process does not read: message queue full")]
     QueueFull,
+    #[error(transparent)]
+    UpdateTooLong(#[from] UpdateTooLong),
 }
 
 /// Another process is already taking over from the predecessor.
@@ -165,9 +168,9 @@
     let (outgoing, messages) = mpsc::unbounded_channel();
     let channel = UpgradeChannel::to_predecessor(outgoing, state.descriptors_in_use, state.minor_version);
     node.process.set_other_process(Some(channel.clone()));
-    let (node, sync) = (node.clone(), StateSync::new(node));
+    let (node, sync) = (node.clone(), channel.accepts_updates().then(|| StateSync::new(node)));
     async move {
-        exchange_messages(&node, &channel, &sync, stream, messages).await;
+        exchange_messages(&node, &channel, sync.as_ref(), stream, messages).await;
         info!("upgrade channel to predecessor closed");
         node.process.predecessor_ended.notify_one();
     }
@@ -239,16 +242,17 @@
     // Set first, so that messages queued from now on follow the state.
     node.process.set_other_process(Some(channel.clone()));
     let state = UpgradeMessage::State(Box::new(node.hand_over_state(VERSION)));
-    let sync = StateSync::new(node);
+    let sync = channel.accepts_updates().then(|| StateSync::new(node));
     // The ids follow the state directly, so that the successor has received them before it accepts clients.
     let accepted = channel.reports_request_ends();
     let ended_ids = if accepted { node.clients.request_ids().ended() } else { Vec::new() };
     if let Err(error) = send_state(&mut stream, &state, ended_ids).await {
         node.process.set_other_process(None);
+        node.decisions.record_list_changes(false);
         node.decisions.continue_without_successor();
         return Err(error);
     }
-    exchange_messages(node, &channel, &sync, stream, messages).await;
+    exchange_messages(node, &channel, sync.as_ref(), stream, messages).await;
     node.decisions.continue_without_successor();
     info!("upgrade channel to successor closed, this process continues to serve");
     Ok(())
@@ -271,7 +275,7 @@
 async fn exchange_messages(
     node: &Node,
     channel: &UpgradeChannel,
-    sync: &StateSync,
+    sync: Option<&StateSync>,
     stream: MessageStream,
     outgoing: mpsc::UnboundedReceiver<UpgradeMessage>,
 ) {
@@ -293,6 +297,8 @@
     node.process.set_other_process(None);
     node.clients.request_ids().end_all_at_other_process();
     node.clients.memory().set_used_by_other_process(0);
+    node.decisions.record_list_changes(false);
+    node.decisions.on_other_process_ended();
     channel.close();
 }
 
@@ -301,7 +307,7 @@
 async fn send_messages(
     node: &Node,
     channel: &UpgradeChannel,
-    sync: &StateSync,
+    sync: Option<&StateSync>,
     mut writer: OwnedWriteHalf,
     mut outgoing: mpsc::UnboundedReceiver<UpgradeMessage>,
 ) -> Result<(), ChannelError> {
@@ -317,7 +323,7 @@
             write(&mut writer, &UpgradeMessage::MemoryInUse(memory)).await?;
             sent_memory = Some(memory);
         }
-        match channel.accepts_updates().then(|| sync.next_update(node)).flatten() {
+        match sync.and_then(|sync| sync.next_update(node)) {
             Some(update) => write(&mut writer, &UpgradeMessage::Update(update)).await?,
             None if outgoing.is_empty() => channel.on_flushed(),
             None => {}
@@ -332,7 +338,7 @@
 async fn on_message(
     node: &Node,
     channel: &UpgradeChannel,
-    sync: &StateSync,
+    sync: Option<&StateSync>,
     message: UpgradeMessage,
 ) -> Result<(), ChannelError> {
     match message {
@@ -364,7 +370,9 @@
         UpgradeMessage::EndedIds(ids) => {
             ids.into_iter().for_each(|id| node.clients.request_ids().remember(id));
         }
-        UpgradeMessage::Update(update) => sync.on_update(node, update),
+        UpgradeMessage::Update(update) => {
+            sync.ok_or(ChannelError::UnexpectedMessage)?.on_update(node, update)?;
+        }
         UpgradeMessage::StoppedAccepting => channel.set_serves(false),
         UpgradeMessage::Ack { number } => channel.on_ack(number),
         UpgradeMessage::Join { .. } | UpgradeMessage::State(_) | UpgradeMessage::AlreadyJoined => {
--- a/crates/alderstile-node/tests/endpoint_watch.rs
+++ b/crates/alderstile-node/tests/endpoint_watch.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use alderstile_node::config::Config;
-use alderstile_node::discovery::endpoint_list::server_id;
+use alderstile_node::discovery::endpoint_list::{Health, server_id};
+use alderstile_node::discovery::list_update::ListComparison;
 use alderstile_node::discovery::watch;
 use alderstile_node::node::Node;
 use tokio::task::spawn_local;
@@ -90,3 +91,33 @@
         assert_eq!(node.hand_over_state(1).endpoints_source, None);
     });
 }
+
+/// Guards against a late answer that undoes a drain: the other process of the node sent a newer list while the
+/// call was out (issue 64).
+#[test]
+fn answer_that_is_older_than_the_other_process_s_list_is_passed_over() {
+    run(async {
+        let (host, discovery) = (StubHost::new("s-1").await, StubDiscovery::new().await);
+        let address = discovery.0.local_addr().expect("bound");
+        let value = node_config("127.0.0.1:0", &address.to_string());
+        let mut config = Config::from_file_value(value, |_| None).expect("a valid configuration");
+        config.cached_endpoints_source = "127.0.0.1:1".parse().expect("an address");
+        let node = Rc::new(Node::new(config));
+        spawn_local(watch::run(node.decisions.clone()));
+        spawn_local(node.clone().run(|_| {}));
+        let (request_line, mut call) = discovery.accept_call().await;
+        assert_eq!(request_line, "GET /catalog/members HTTP/1.1");
+        let newer = serde_json::json!({
+            "from": address, "after": 0, "more": false, "lease_until": 0,
+            "list": {"seq": 43, "whole": true, "hosts": [host.list_entry("draining")]},
+        });
+        let newer = serde_json::from_value(newer).expect("an update");
+        assert_eq!(node.decisions.apply_list_update(&newer), ListComparison::Newer);
+        let older = list_line(42, true, &[host.list_entry("up")]);
+        call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{older}", older.len())).await;
+        let (request_line, _watch) = discovery.accept_call().await;
+        assert!(request_line.contains("index=43"), "{request_line}");
+        assert_eq!(node.decisions.complete_list().endpoints[0].health, Health::Draining);
+        assert!(node.decisions.can_serve(), "discovery has answered");
+    });
+}
--- a/crates/alderstile-node/tests/lease.rs
+++ b/crates/alderstile-node/tests/lease.rs
@@ -132,6 +132,39 @@
     assert!(lease.allows_new_work(ms(2_699), A) && !lease.allows_new_work(ms(2_700), A));
 }
 
+/// Guards against a process that acts on its list although neither process hears of changes, and against one
+/// that withholds requests although the other one does.
+#[test]
+fn lease_lasts_as_long_as_that_of_either_process() {
+    let mut lease = Lease::new(ms(0), None);
+    lease.set_other_process(ms(9_000));
+    assert!(lease.allows_new_work(ms(8_999), A) && !lease.allows_new_work(ms(9_000), A));
+    // A later report may be shorter, and a shorter one of another list counts, too.
+    lease.set_other_process(ms(8_000));
+    lease.shorten_other_process(ms(8_500));
+    assert_eq!(lease.next_due(ms(1)), Some(ms(8_000)));
+    lease.shorten_other_process(ms(7_000));
+    assert_eq!(lease.next_due(ms(1)), Some(ms(7_000)));
+    // A changed address of discovery shortens both.
+    lease.on_discovery_address_changed(ms(1_000));
+    assert_eq!(lease.next_due(ms(1_000)), Some(ms(5_000)));
+    assert_eq!(lease.own_expires(), ms(5_000));
+    // With pushed lists, the end of the process whose watch was open shortens its lease to the drain grace.
+    let mut pushed = Lease::new(ms(0), Some(ms(400)));
+    pushed.set_other_process(ms(6_000));
+    pushed.on_other_process_ended(ms(1_000));
+    assert!(pushed.allows_new_work(ms(1_399), A) && !pushed.allows_new_work(ms(1_400), A));
+}
+
+#[test]
+fn hosts_are_withheld_again_after_a_list_without_a_lease() {
+    let mut lease = Lease::new(ms(0), None);
+    assert_eq!(lease.withhold_expired(ms(6_000), [A, B].into_iter()), [A, B]);
+    assert_eq!(lease.withhold_expired(ms(6_001), [A, B].into_iter()), []);
+    lease.forget_withheld();
+    assert_eq!(lease.withhold_expired(ms(6_002), [A, B].into_iter()), [A, B]);
+}
+
 #[test]
 fn successor_inherits_at_most_the_remaining_lease() {
     let mut lease = Lease::new(ms(0), None);
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -18,7 +18,7 @@
 use alderstile_node::admin::maintenance_store::MaintenanceState;
 use alderstile_node::clock::MachineTime;
 use alderstile_node::config::Config;
-use alderstile_node::discovery::endpoint_list::Health;
+use alderstile_node::discovery::endpoint_list::{EndpointRecord, Health};
 use alderstile_node::lifecycle::connection_handover::{self as handover, HandedOverConnection};
 use alderstile_node::lifecycle::state_update::StateUpdate;
 use alderstile_node::lifecycle::upgrade_message::UpgradeMessage;
@@ -88,6 +88,13 @@
     };
     assert_eq!(update.read_at, MachineTime(123_456_789));
     assert_eq!(update.file, json!({"discovery": "127.0.0.1:7100", "name": "n1"}));
+    let UpgradeMessage::Update(StateUpdate::List(update)) = message("update_list") else { panic!("no list") };
+    assert_eq!((Some(update.source), update.base_version), ("127.0.0.1:7100".parse().ok(), 41));
+    assert_eq!((update.is_partial, update.lease_expires), (true, MachineTime(123_456_789)));
+    assert_eq!((update.list.version, update.list.complete), (42, false));
+    let health: Vec<Health> = update.list.endpoints.iter().map(|host| host.health).collect();
+    assert_eq!(health, [Health::Draining, Health::Removed]);
+    assert_eq!(update.list.endpoints[1], EndpointRecord::removed("s-2".to_owned()));
 }
 
 #[test]
--- a/crates/alderstile-node/tests/upgrade_reload.rs
+++ b/crates/alderstile-node/tests/upgrade_reload.rs
@@ -132,6 +132,14 @@
     StateUpdate::Config(ConfigUpdate { read_at: MachineTime(read_at), file })
 }
 
+/// Returns the configuration that is sent next, passing over the endpoint list and its lease.
+fn next_config(sync: &StateSync, node: &Node) -> Option<ConfigUpdate> {
+    std::iter::from_fn(|| sync.next_update(node)).find_map(|update| match update {
+        StateUpdate::Config(update) => Some(update),
+        StateUpdate::List(_) => None,
+    })
+}
+
 /// Guards against two processes that exchange their configurations when both are reloaded in one moment.
 #[test]
 fn newer_configuration_wins_at_both_processes() {
@@ -140,10 +148,10 @@
     for order in [[&older, &newer], [&newer, &older]] {
         let node = node(&value);
         let sync = StateSync::new(&node);
-        order.into_iter().for_each(|update| sync.on_update(&node, update.clone()));
+        order.into_iter().for_each(|update| sync.on_update(&node, update.clone()).expect("applied"));
         assert_eq!(node.config().discovery.port(), 8507);
         assert_eq!(node.decisions.discovery_address().port(), 8507);
-        assert!(sync.next_update(&node).is_none(), "what was received is not sent back");
+        assert!(next_config(&sync, &node).is_none(), "what was received is not sent back");
     }
 }
 
@@ -155,7 +163,7 @@
     let accepted = update(5, &value, "127.0.0.1:8505");
     value["settings"]["obligations"]["stop_sending_within"] = json!(500_000);
     let node = node(&value);
-    StateSync::new(&node).on_update(&node, accepted);
+    StateSync::new(&node).on_update(&node, accepted).expect("applied");
     assert_eq!(node.config().discovery.port(), 8505);
 }
 
@@ -164,15 +172,15 @@
     let value = node_config("127.0.0.1:9000", "127.0.0.1:8500");
     let node = node(&value);
     let sync = StateSync::new(&node);
-    assert!(sync.next_update(&node).is_none());
+    assert!(next_config(&sync, &node).is_none());
     // Two changes that are received on another channel, before this one has sent anything.
     let other_channel = StateSync::new(&node);
     for (read_at, discovery) in [(5, "127.0.0.1:8505"), (7, "127.0.0.1:8507")] {
-        other_channel.on_update(&node, update(read_at, &value, discovery));
+        other_channel.on_update(&node, update(read_at, &value, discovery)).expect("applied");
     }
-    let Some(StateUpdate::Config(sent)) = sync.next_update(&node) else { panic!("not sent") };
+    let sent = next_config(&sync, &node).expect("sent");
     assert_eq!((sent.read_at, &sent.file["discovery"]), (MachineTime(7), &json!("127.0.0.1:8507")));
-    assert!(sync.next_update(&node).is_none());
+    assert!(next_config(&sync, &node).is_none());
 }
 
 /// Guards against a reload that is lost because the process that took it ends at once.
