Let both processes of a node read changed cluster keys

Callers saw (test): after a SIGHUP that only the predecessor got, its successor signed with the former key for good; the other members reject that. Cause: a process reads the keys at its start and at its own SIGHUP. Change: a process that has reloaded the keys sends the time, and the other one reads the same file. Keys are not sent.

--- a/crates/alderstile-node/src/commands/serve.rs
+++ b/crates/alderstile-node/src/commands/serve.rs
@@ -16,6 +16,7 @@
 use super::log::Log;
 use super::{FilePaths, env};
 use crate::admin::server;
+use crate::clock::MachineTime;
 use crate::config::{ClusterConfig, ClusterConfigError, Config, ConfigError};
 use crate::control::host_assignment;
 use crate::control::membership::ClusterMembership;
@@ -118,16 +119,40 @@
     };
     spawn_local(watch::run(node.decisions.clone()));
     spawn_local(node.clone().run(move |message| gossip.broadcast(message)));
-    let reload = || {
-        reload::reload(&node, files.config, env);
-        reload::reload_keys(&node, files.cluster);
-    };
-    signals.wait_for_stop(reload).await;
+    let reloads = Reloads { node: &node, files };
+    signals.wait_for_stop(&reloads).await;
     // Reloads still apply: clients are served with the active configuration until the last one has left.
-    signals.wait_for(shutdown::run(node.clone(), accepting), reload).await;
+    signals.wait_for(shutdown::run(node.clone(), accepting), &reloads).await;
     Ok(())
 }
 
+/// The reloads of a running node.
+struct Reloads<'a> {
+    node: &'a Node,
+    files: FilePaths<'a>,
+}
+
+impl Reloads<'_> {
+    /// Reloads both files at SIGHUP.
+    fn on_hangup(&self) {
+        let read_at = MachineTime::now();
+        reload::reload(self.node, self.files.config, env);
+        if self.reload_keys() {
+            self.node.reload_times.cluster_keys.set(read_at);
+        }
+    }
+
+    /// Reloads the keys after the node's other process has; returns whether they are in use.
+    fn reload_keys(&self) -> bool {
+        reload::reload_keys(self.node, self.files.cluster)
+    }
+
+    /// Waits until the node's other process has reloaded the keys.
+    async fn keys_requested(&self) {
+        self.node.reload_times.keys_requested.notified().await;
+    }
+}
+
 /// The signals that the process handles.
 struct Signals {
     terminate: Signal,
@@ -145,23 +170,25 @@
     }
 
     /// Waits for SIGTERM or SIGINT, and reloads at each SIGHUP.
-    async fn wait_for_stop(&mut self, reload: impl Fn()) {
+    async fn wait_for_stop(&mut self, reloads: &Reloads<'_>) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                Some(()) = self.hangup.recv() => reload(),
+                Some(()) = self.hangup.recv() => reloads.on_hangup(),
+                () = reloads.keys_requested() => drop(reloads.reload_keys()),
             }
         }
     }
 
     /// Waits for a future to complete, and reloads at each SIGHUP.
-    async fn wait_for(&mut self, future: impl Future<Output = ()>, reload: impl Fn()) {
+    async fn wait_for(&mut self, future: impl Future<Output = ()>, reloads: &Reloads<'_>) {
         tokio::pin!(future);
         loop {
             tokio::select! {
                 () = &mut future => return,
-                Some(()) = self.hangup.recv() => reload(),
+                Some(()) = self.hangup.recv() => reloads.on_hangup(),
+                () = reloads.keys_requested() => drop(reloads.reload_keys()),
             }
         }
     }
--- a/crates/alderstile-node/src/lifecycle/reload.rs
+++ b/crates/alderstile-node/src/lifecycle/reload.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 
 use serde_json::Value;
+use tokio::sync::Notify;
 use tracing::{error, info};
 
 use super::state_update::ConfigUpdate;
@@ -20,6 +21,20 @@
 pub struct ReloadTimes {
     /// When the configuration was read.
     pub config: Cell<MachineTime>,
+    /// When the cluster file was read, whose keys are in use.
+    pub cluster_keys: Cell<MachineTime>,
+    /// Notified when the node's other process has read the cluster file later than this one.
+    pub keys_requested: Notify,
+}
+
+impl ReloadTimes {
+    /// Requests that this process reads the cluster file, if the other process did so at a later time.
+    pub fn request_keys(&self, read_at: MachineTime) {
+        if read_at > self.cluster_keys.get() {
+            self.cluster_keys.set(read_at);
+            self.keys_requested.notify_one();
+        }
+    }
 }
 
 /// Reads the configuration file again and applies it. An invalid file changes nothing, and its error is
@@ -83,9 +98,10 @@
     }
 }
 
-/// Reads the cluster file again. Only its authentication keys can change while the node runs.
-pub fn reload_keys(node: &Node, path: Option<&Path>) {
-    let Some((path, membership)) = path.zip(node.admin.membership()) else { return };
+/// Reads the cluster file again. Only its authentication keys can change while the node runs. Returns whether
+/// the file's keys are in use.
+pub fn reload_keys(node: &Node, path: Option<&Path>) -> bool {
+    let Some((path, membership)) = path.zip(node.admin.membership()) else { return false };
     match ClusterConfig::load(path) {
         Ok(config) => {
             membership.set_keys(&config);
@@ -95,7 +111,11 @@
             info!(
                 "authentication keys reloaded, other changes of the cluster file deferred to the next start"
             );
+            true
+        }
+        Err(error) => {
+            error!(%error, "cluster file rejected, active authentication keys kept");
+            false
         }
-        Err(error) => error!(%error, "cluster file rejected, active authentication keys kept"),
     }
 }
--- a/crates/alderstile-node/src/lifecycle/state_sync.rs
+++ b/crates/alderstile-node/src/lifecycle/state_sync.rs
@@ -16,6 +16,8 @@
 pub struct StateSync {
     /// When the configuration was read that the other process has.
     config_read_at: Cell<MachineTime>,
+    /// When the cluster file was read whose keys the other process has.
+    keys_read_at: Cell<MachineTime>,
     list: RefCell<ListSync>,
 }
 
@@ -24,6 +26,7 @@
     pub fn new(node: &Node) -> Self {
         StateSync {
             config_read_at: Cell::new(node.reload_times.config.get()),
+            keys_read_at: Cell::new(node.reload_times.cluster_keys.get()),
             list: RefCell::new(ListSync::new(&node.decisions)),
         }
     }
@@ -40,6 +43,10 @@
             let file = node.config().source.clone();
             return Some(StateUpdate::Config(ConfigUpdate { read_at: config_read_at, file }));
         }
+        let keys_read_at = node.reload_times.cluster_keys.get();
+        if keys_read_at > self.keys_read_at.replace(keys_read_at) {
+            return Some(StateUpdate::ClusterKeys(keys_read_at));
+        }
         list.next_update(&node.decisions).map(StateUpdate::List)
     }
 
@@ -55,6 +62,10 @@
                 reload::apply_update(node, update);
                 self.list.borrow_mut().forget_known();
             }
+            StateUpdate::ClusterKeys(read_at) => {
+                self.keys_read_at.set(self.keys_read_at.get().max(read_at));
+                node.reload_times.request_keys(read_at);
+            }
             StateUpdate::List(update) => self.list.borrow_mut().on_update(&node.decisions, update)?,
         }
         Ok(())
--- a/crates/alderstile-node/src/lifecycle/state_update.rs
+++ b/crates/alderstile-node/src/lifecycle/state_update.rs
@@ -13,6 +13,9 @@
 pub enum StateUpdate {
     /// A configuration file was applied at a reload.
     Config(ConfigUpdate),
+    /// The cluster file was read again at this time, and its keys are in use. Only the time is sent: the other
+    /// process reads the same file.
+    ClusterKeys(MachineTime),
     /// The endpoint list or its lease has changed.
     List(ListUpdate),
 }
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -88,6 +88,10 @@
     };
     assert_eq!(update.read_at, MachineTime(123_456_789));
     assert_eq!(update.file, json!({"discovery": "127.0.0.1:7100", "name": "n1"}));
+    let UpgradeMessage::Update(StateUpdate::ClusterKeys(read_at)) = message("update_cluster_keys") else {
+        panic!("no keys")
+    };
+    assert_eq!(read_at, MachineTime(123_456_789));
     let UpgradeMessage::Update(StateUpdate::List(update)) = message("update_list") else { panic!("no list") };
     assert_eq!((Some(update.source), update.base_version), ("127.0.0.1:7100".parse().ok(), 41));
     assert_eq!((update.is_partial, update.lease_expires), (true, MachineTime(123_456_789)));
--- a/crates/alderstile-node/tests/upgrade_reload.rs
+++ b/crates/alderstile-node/tests/upgrade_reload.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use alderstile_node::clock::MachineTime;
-use alderstile_node::config::Config;
+use alderstile_node::config::{ClusterConfig, Config};
 use alderstile_node::discovery::endpoint_list::server_id;
 use alderstile_node::lifecycle::state_sync::StateSync;
 use alderstile_node::lifecycle::state_update::{ConfigUpdate, StateUpdate};
 use alderstile_node::node::Node;
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::UnixStream;
+use tokio::net::{UdpSocket, UnixStream};
 use tokio::time::{sleep, timeout};
 
 mod support;
@@ -136,7 +136,7 @@
 fn next_config(sync: &StateSync, node: &Node) -> Option<ConfigUpdate> {
     std::iter::from_fn(|| sync.next_update(node)).find_map(|update| match update {
         StateUpdate::Config(update) => Some(update),
-        StateUpdate::List(_) => None,
+        StateUpdate::ClusterKeys(_) | StateUpdate::List(_) => None,
     })
 }
 
@@ -208,6 +208,69 @@
     });
 }
 
+/// Returns a cluster file with one seed and one key.
+fn cluster_file(listen: SocketAddr, seed: SocketAddr, key: &str) -> String {
+    format!(
+        "name = \"edge\"\nlisten = \"{listen}\"\nseeds = [\"{seed}\"]\nkeys = [\"{key}\"]\nperiod_ms = 200\n"
+    )
+}
+
+/// Guards against a successor that goes on with the keys of its start after its predecessor has reloaded them:
+/// the other members reject all that it sends.
+#[test]
+fn reloaded_keys_of_the_predecessor_are_used_by_the_successor() {
+    run(async {
+        let (dir, discovery) = (temp_dir("reload-keys"), StubDiscovery::new().await);
+        let value = upgradable_config(&discovery).await;
+        let host = StubHost::new("s-1").await;
+        serve_endpoint_list(discovery, vec![host.list_entry("up")]);
+        let seed = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let (listen, seed_address) = (free_address().await, seed.local_addr().expect("bound"));
+        let path = dir.join("cluster.toml");
+        let write_key = |key: &str| {
+            std::fs::write(&path, cluster_file(listen, seed_address, key)).expect("written");
+        };
+        let [former_key, new_key] = ["1", "2"].map(|digit| digit.repeat(64));
+        write_key(&former_key);
+        let mut old = Process::start_member(&value, &path, &dir).await;
+        old.wait_until_ready().await;
+        let new = Process::start_member(&value, &path, &dir).await;
+        new.wait_until_ready().await;
+        write_key(&new_key);
+        old.signal("-HUP").await;
+        sleep(Duration::from_millis(200)).await;
+        old.signal("-TERM").await;
+        assert!(timeout(Duration::from_secs(5), old.child.wait()).await.expect("in time").is_ok());
+        // What the predecessor has sent may still be queued.
+        let mut datagram = [0; 2_048];
+        while seed.try_recv(&mut datagram).is_ok() {}
+        let codec = ClusterConfig::load(&path).expect("a valid file").codec;
+        let length =
+            timeout(CALL_WAIT, seed.recv(&mut datagram)).await.expect("a datagram").expect("received");
+        assert!(codec.decode(&datagram[..length]).is_ok(), "signed with the former key");
+    });
+}
+
+/// Guards against two processes that make each other read the cluster file again and again.
+#[test]
+fn keys_are_requested_once_for_each_reload() {
+    run(async {
+        let node = node(&node_config("127.0.0.1:9000", "127.0.0.1:8500"));
+        let sync = StateSync::new(&node);
+        let times = &node.reload_times;
+        for (read_at, expected) in [(5, true), (5, false), (4, false), (6, true)] {
+            sync.on_update(&node, StateUpdate::ClusterKeys(MachineTime(read_at))).expect("applied");
+            let requested = timeout(Duration::ZERO, times.keys_requested.notified()).await.is_ok();
+            assert_eq!(requested, expected, "read at {read_at}");
+            let mut updates = std::iter::from_fn(|| sync.next_update(&node));
+            assert!(!updates.any(|update| matches!(update, StateUpdate::ClusterKeys(_))), "not sent back");
+        }
+        times.cluster_keys.set(MachineTime(7));
+        let mut updates = std::iter::from_fn(|| sync.next_update(&node));
+        assert!(updates.any(|update| matches!(update, StateUpdate::ClusterKeys(MachineTime(7)))));
+    });
+}
+
 /// Joins the process in a directory as a successor of a minor version. Returns the channel, from which the
 /// first message was read.
 async fn join(dir: &Path, minor_version: u32) -> BufReader<UnixStream> {
