Store a host's maintenance state at both processes of a node

Callers saw (test): two hosts taken out in one moment, one at each process, were both answered 200; the file held one of them, so that a process after a crash would use the other. Cause: each process wrote the whole file at its own calls only; both wrote before they heard of the other's host. Evidence: the new test fails before (1 of 2 hosts, round 0, 3 of 3 runs) and passes after (20 rounds, 3 of 3 runs). Change: the file is also written when the other process reports a host.

--- a/crates/alderstile-node/src/admin/service.rs
+++ b/crates/alderstile-node/src/admin/service.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::rc::Rc;
 
-use tracing::info;
+use tracing::{error, info};
 
 use crate::admin::maintenance_store::{MaintenanceState, MaintenanceStore};
 use crate::admin::metrics::Gauges;
@@ -136,6 +136,15 @@
         Ok(known)
     }
 
+    /// Applies a maintenance state that operators have set at the node's other process, and writes the file: the
+    /// other process may have written it before it heard of a host that was set here.
+    pub fn apply_maintenance_of_other_process(&self, host: &str, state: MaintenanceState) {
+        self.apply_maintenance(host, state);
+        if let Err(error) = self.save_maintenance() {
+            error!(%error, "maintenance file not written");
+        }
+    }
+
     /// Sets a host's maintenance state in the store and the balancer, without writing the file.
     pub fn apply_maintenance(&self, host: &str, state: MaintenanceState) {
         self.maintenance.borrow_mut().set(host, state, self.decisions.clock.now());
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -356,7 +356,7 @@
             channel.send(UpgradeMessage::Ack { number });
         }
         UpgradeMessage::HostMaintenance { number, host, state } => {
-            node.admin.apply_maintenance(&host, state);
+            node.admin.apply_maintenance_of_other_process(&host, state);
             channel.send(UpgradeMessage::Ack { number });
         }
         UpgradeMessage::RequestId(id) => node.clients.request_ids().remember(IdDigest::of(id.as_bytes())),
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use alderstile_node::admin::maintenance_store::MaintenanceStore;
 use alderstile_node::config::NodeIdentity;
 use alderstile_node::lifecycle::upgrade;
 use alderstile_node::proxy::clients::MAX_CONCURRENT_HANDOVERS;
@@ -438,6 +439,39 @@
     });
 }
 
+/// Guards against a maintenance file that lacks a host: both processes write it, and each may write it before it
+/// has heard of the other's host (issue 64).
+#[test]
+fn hosts_that_are_taken_out_at_both_processes_at_once_are_all_stored() {
+    const ROUNDS: usize = 20;
+    run(async {
+        let (dir, discovery) = (temp_dir("stored"), StubDiscovery::new().await);
+        let value = upgradable_config(&discovery).await;
+        let host = StubHost::new("s-1").await;
+        let entry = |name: String| {
+            let mut entry = host.list_entry("up");
+            entry["host"] = name.into();
+            entry
+        };
+        let name = |process: &str, round| format!("{process}-{round}");
+        let names = (0..ROUNDS).flat_map(|round| [name("old", round), name("new", round)]);
+        serve_endpoint_list(discovery, names.map(entry).collect());
+        let old = Process::start(&value, &dir).await;
+        old.wait_until_ready().await;
+        let new = Process::start(&value, &dir).await;
+        new.wait_until_ready().await;
+        for round in 0..ROUNDS {
+            let [path_old, path_new] =
+                ["old", "new"].map(|process| format!("/control/hosts/{}/offline", name(process, round)));
+            let (at_old, at_new) =
+                tokio::join!(old.admin_request("POST", &path_old), new.admin_request("POST", &path_new));
+            assert_eq!([at_old, at_new].map(|answer| answer.expect("an answer").0), [200, 200]);
+            let stored = MaintenanceStore::load(&dir, "n1").hosts().count();
+            assert_eq!(stored, 2 * (round + 1), "round {round}");
+        }
+    });
+}
+
 #[test]
 fn process_starts_alone_if_no_valid_predecessor_answers() {
     run(async {
