Keep a committed version's lower attempt limit over a reload

Callers saw (test): SIGHUP between the commit and the activation of agreed settings with 2 attempts set the limit back to 3 until the activation, while other nodes may have been at 2. Cause: the file read at SIGHUP was overlaid with the applied version only. The file that the node's other process reports takes the same way. Evidence: the new test fails before (3 attempts after the reload) and passes after, for a reload and for a reported one. Change: versions that are committed and not active are kept, and their lower limit applies to the file.

--- a/crates/alderstile-node/src/control/replicated_config/apply.rs
+++ b/crates/alderstile-node/src/control/replicated_config/apply.rs
@@ -1,7 +1,7 @@
 //! Actions of a node when a version is committed and when it becomes active.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 
 use alderstile::types::Micros;
@@ -18,6 +18,8 @@
     /// The applied version; 0 while the node uses its own file.
     version: Cell<u64>,
     document: RefCell<ConfigDocument>,
+    /// Versions that are committed but not active yet.
+    pending: RefCell<BTreeMap<u64, ConfigDocument>>,
     /// Hosts taken out of service by the active version or by one that is not active yet.
     hosts_out: RefCell<BTreeSet<String>>,
     /// Why the active version was not applied.
@@ -30,6 +32,7 @@
             node,
             version: Cell::new(0),
             document: RefCell::default(),
+            pending: RefCell::default(),
             hosts_out: RefCell::default(),
             rejection: RefCell::default(),
         }
@@ -61,6 +64,7 @@
         if let Ok(Some(config)) = document.interim_config(&node.config()) {
             node.apply_config(config);
         }
+        self.pending.borrow_mut().insert(version, document);
     }
 
     /// Applies a version that has become active. A version that fails the checks of a file read at SIGHUP is
@@ -89,6 +93,7 @@
         self.return_hosts_to_service(node, &document.hosts_out);
         self.rejection.replace(None);
         self.version.set(version);
+        self.pending.borrow_mut().retain(|pending, _| *pending > version);
         self.document.replace(document);
     }
 
@@ -113,8 +118,15 @@
     }
 
     /// Returns the file read at SIGHUP, with the replicated settings in place of its own if a version is
-    /// applied.
+    /// applied. The attempt limit of a version that is not active yet applies if it is lower.
     pub fn overlay_file(&self, file: Value) -> Value {
+        let overlaid = self.overlay_applied(file);
+        let lower_limit =
+            |file: Value, document: &ConfigDocument| document.interim_file(&file).unwrap_or(file);
+        self.pending.borrow().values().fold(overlaid, lower_limit)
+    }
+
+    fn overlay_applied(&self, file: Value) -> Value {
         let version = self.version.get();
         if version == 0 {
             return file;
--- a/crates/alderstile-node/src/control/replicated_config/document.rs
+++ b/crates/alderstile-node/src/control/replicated_config/document.rs
@@ -110,16 +110,20 @@
     /// # Errors
     /// Returns an error if the settings are invalid in combination with the rest of the node's file.
     pub fn interim_config(&self, config: &Config) -> Result<Option<Config>, DocumentError> {
+        self.interim_file(&config.source).map(|file| Ok(config.reloaded(file)?.config)).transpose()
+    }
+
+    /// Returns a file with the document's attempt limit in place of its own, or `None` if the file's is not
+    /// higher.
+    pub fn interim_file(&self, file: &Value) -> Option<Value> {
         let max_attempts = |file: &Value| file.pointer(MAX_ATTEMPTS_POINTER).and_then(Value::as_u64);
         let new = self.settings.get("allowed").and_then(|allowed| allowed.get("max_attempts"));
-        let (Some(new), Some(old)) = (new.and_then(Value::as_u64), max_attempts(&config.source)) else {
-            return Ok(None);
-        };
-        let mut file = config.source.clone();
-        match file.pointer_mut(MAX_ATTEMPTS_POINTER) {
-            Some(limit) if new < old => *limit = new.into(),
-            _ => return Ok(None),
+        let new = new.and_then(Value::as_u64)?;
+        if max_attempts(file)? <= new {
+            return None;
         }
-        Ok(Some(config.reloaded(file)?.config))
+        let mut file = file.clone();
+        *file.pointer_mut(MAX_ATTEMPTS_POINTER)? = new.into();
+        Some(file)
     }
 }
--- a/crates/alderstile-node/tests/replicated_config_applied.rs
+++ b/crates/alderstile-node/tests/replicated_config_applied.rs
@@ -1,7 +1,9 @@
 //! Application of a version at a node: settings and hosts out of service, before and after activation.
 
+use alderstile_node::clock::MachineTime;
 use alderstile_node::discovery::endpoint_list::server_id;
-use alderstile_node::lifecycle::reload::reload;
+use alderstile_node::lifecycle::reload::{apply_update, reload};
+use alderstile_node::lifecycle::state_update::ConfigUpdate;
 use serde_json::json;
 
 mod support;
@@ -60,6 +62,36 @@
     });
 }
 
+/// Guards against a reload, or one that the node's other process reports, that raises the attempt limit again
+/// while other nodes may already use a version with a lower one.
+#[test]
+fn a_reload_keeps_the_lower_attempt_limit_of_a_version_that_is_not_active_yet() {
+    run(async {
+        let host = StubHost::new("s-1").await;
+        let (test_node, _watch, replica, dir) = single_voter_node(92, &[&host]).await;
+        let max_attempts = || test_node.node.config().settings.max_attempts;
+        let file = test_node.node.config().source.clone();
+        assert_eq!(max_attempts(), 3);
+        let stricter = document(|document| document["settings"]["allowed"]["max_attempts"] = 2.into());
+        let path = dir.join("file.json");
+        std::fs::write(&path, file.to_string()).expect("written file");
+        propose_until_committed(&replica, &stricter).await;
+        assert_eq!((replica.status().active_version, max_attempts()), (0, 2));
+        reload(&test_node.node, Some(&path), |_| None);
+        assert_eq!((replica.status().active_version, max_attempts()), (0, 2), "after a reload");
+        let update = ConfigUpdate { read_at: MachineTime(u64::MAX), file };
+        apply_update(&test_node.node, update);
+        assert_eq!(
+            (replica.status().active_version, max_attempts()),
+            (0, 2),
+            "after one at the other process"
+        );
+        wait_until_active(&replica, 1).await;
+        assert_eq!(max_attempts(), 2);
+        std::fs::remove_dir_all(&dir).expect("removed directory");
+    });
+}
+
 #[test]
 fn a_host_taken_out_by_an_operator_stays_out_when_the_document_puts_it_back() {
     run(async {
