Apply a list delta to its own version only, and request a list that is missing

Cause: deltas are net changes, so that one to version 101 says too little to a process at 103; the record of what the other process has was kept over reloads, though a list counts at one address of discovery only. Change: a delta applies to its own version; a process that lacks a version for 0.2 s asks for the complete list; a reload at either process is followed by the complete list. One check of upgrade_list.rs turns from Newer to Unrelated for a delta to an older version: it held the fault. Parts of a large list are sent without a pause between them.

--- a/crates/alderstile-node/src/discovery/list_update.rs
+++ b/crates/alderstile-node/src/discovery/list_update.rs
@@ -14,7 +14,8 @@
     /// The address of discovery from which the list is.
     #[serde(rename = "from")]
     pub source: SocketAddr,
-    /// The version to which a delta applies, or a later one; 0 for a complete list.
+    /// The version to which a delta applies; 0 for a complete list. It applies to no other version: it lacks a
+    /// host that has changed and changed back.
     #[serde(rename = "after")]
     pub base_version: u64,
     /// The complete list or a delta to it, or a part of either.
@@ -52,7 +53,7 @@
             None => ListComparison::Unrelated,
             Some(known) if self.list.version == known => ListComparison::Same,
             Some(known) if self.list.version < known => ListComparison::Older,
-            Some(known) if self.list.complete || self.base_version <= known => ListComparison::Newer,
+            Some(known) if self.list.complete || self.base_version == known => ListComparison::Newer,
             Some(_) => ListComparison::Unrelated,
         }
     }
--- a/crates/alderstile-node/src/lifecycle/list_sync.rs
+++ b/crates/alderstile-node/src/lifecycle/list_sync.rs
@@ -1,11 +1,13 @@
 //! Keeps the endpoint list and its lease equal at both processes of a node during an upgrade.
 //!
 //! A process sends what has changed in its list since it last sent it, in parts that bound the size of a
-//! message. The receiver applies an update whole, and only if it leads from a version that it has.
+//! message. The receiver applies an update whole, and only if it leads from the version that it has. If its own
+//! watch has brought it to another version and brings nothing newer, it requests the complete list.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use alderstile::types::Micros;
 use thiserror::Error;
 
 use crate::clock::MachineTime;
@@ -18,6 +20,9 @@
 /// Maximum size of an update that is received in parts, in bytes: far above any real list.
 const MAX_UPDATE_BYTES: usize = 64 << 20;
 
+/// How long a process waits for its own watch to bring what it lacks, before it requests the complete list.
+pub const CATCH_UP_TIME: Micros = Micros::from_millis(200);
+
 /// The other process sends an endpoint list without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("endpoint list longer than {MAX_UPDATE_BYTES} bytes")]
@@ -43,11 +48,23 @@
     /// The endpoints of an update of which not all parts have been received, and their size in bytes.
     received: Vec<EndpointRecord>,
     received_bytes: usize,
+    /// A version that the other process may have and this one lacks.
+    missing: Option<MissingVersion>,
+    catch_up_time: Micros,
+}
+
+/// A version that this process lacks.
+#[derive(Clone, Copy, Debug)]
+struct MissingVersion {
+    version: ListVersion,
+    /// Since when.
+    since: Micros,
 }
 
 impl ListSync {
     /// Creates the record of a process that has this one's present list, and begins to record its changes.
-    pub fn new(decisions: &Decisions) -> Self {
+    /// `catch_up_time` is usually [`CATCH_UP_TIME`].
+    pub fn new(decisions: &Decisions, catch_up_time: Micros) -> Self {
         decisions.record_list_changes(true);
         ListSync {
             known: present_version(decisions),
@@ -56,15 +73,43 @@
             parts: VecDeque::new(),
             received: Vec::new(),
             received_bytes: 0,
+            missing: None,
+            catch_up_time,
         }
     }
 
-    /// Sends the complete list next time, since the other process may have passed over an update: it may have
-    /// used another address of discovery.
-    pub fn forget_known(&mut self) {
+    /// Sends the complete list next time, as the other process has requested it.
+    pub fn on_request(&mut self) {
         self.known = None;
     }
 
+    /// Sends the complete list next time, and expects one if this process has none from its discovery. To be
+    /// called when either process has reloaded its configuration: another address of discovery may have been
+    /// in use at the other one or at this one, and what came from there or was passed over is missing.
+    pub fn on_reload(&mut self, decisions: &Decisions) {
+        self.known = None;
+        if present_version(decisions).is_none() {
+            self.expect(decisions, ListVersion { source: decisions.discovery_address(), version: 0 });
+        }
+    }
+
+    fn expect(&mut self, decisions: &Decisions, version: ListVersion) {
+        let since = self.missing.map_or_else(|| decisions.clock.now(), |missing| missing.since);
+        self.missing = Some(MissingVersion { version, since });
+    }
+
+    /// Returns whether to request the complete list now.
+    pub fn take_request(&mut self, decisions: &Decisions) -> bool {
+        let Some(MissingVersion { version, since }) = self.missing else { return false };
+        let is_relevant = version.source == decisions.discovery_address();
+        let is_known = decisions.known_list_version().is_some_and(|known| known >= version.version);
+        let is_due = decisions.clock.now() >= since + self.catch_up_time;
+        if is_due || is_known || !is_relevant {
+            self.missing = None;
+        }
+        is_due && is_relevant && !is_known
+    }
+
     /// Returns the next part to send; `None` if the other process has everything.
     pub fn next_update(&mut self, decisions: &Decisions) -> Option<ListUpdate> {
         if self.parts.is_empty() {
@@ -125,6 +170,9 @@
             decisions.record_list_changes(true);
             self.known = present_version(decisions);
         }
+        if comparison == ListComparison::Unrelated {
+            self.expect(decisions, ListVersion { source: update.source, version: update.list.version });
+        }
         Ok(())
     }
 }
--- a/crates/alderstile-node/src/lifecycle/state_sync.rs
+++ b/crates/alderstile-node/src/lifecycle/state_sync.rs
@@ -6,6 +6,8 @@
 
 use std::cell::{Cell, RefCell};
 
+use alderstile::types::Micros;
+
 use super::list_sync::{ListSync, UpdateTooLong};
 use super::reload;
 use super::state_update::{ConfigUpdate, StateUpdate};
@@ -23,11 +25,13 @@
 
 impl StateSync {
     /// Creates the record of a process that has this one's present values.
-    pub fn new(node: &Node) -> Self {
+    /// `catch_up_time` is how long this process waits for its own watch to bring what it lacks of the other
+    /// one's endpoint list, usually [`CATCH_UP_TIME`](super::list_sync::CATCH_UP_TIME).
+    pub fn new(node: &Node, catch_up_time: Micros) -> Self {
         StateSync {
             config_read_at: Cell::new(node.reload_times.config.get()),
             keys_read_at: Cell::new(node.reload_times.cluster_keys.get()),
-            list: RefCell::new(ListSync::new(&node.decisions)),
+            list: RefCell::new(ListSync::new(&node.decisions, catch_up_time)),
         }
     }
 
@@ -40,6 +44,7 @@
         }
         let config_read_at = node.reload_times.config.get();
         if config_read_at > self.config_read_at.replace(config_read_at) {
+            list.on_reload(&node.decisions);
             let file = node.config().source.clone();
             return Some(StateUpdate::Config(ConfigUpdate { read_at: config_read_at, file }));
         }
@@ -47,6 +52,9 @@
         if keys_read_at > self.keys_read_at.replace(keys_read_at) {
             return Some(StateUpdate::ClusterKeys(keys_read_at));
         }
+        if list.take_request(&node.decisions) {
+            return Some(StateUpdate::ListRequest);
+        }
         list.next_update(&node.decisions).map(StateUpdate::List)
     }
 
@@ -60,13 +68,14 @@
             StateUpdate::Config(update) => {
                 self.config_read_at.set(self.config_read_at.get().max(update.read_at));
                 reload::apply_update(node, update);
-                self.list.borrow_mut().forget_known();
+                self.list.borrow_mut().on_reload(&node.decisions);
             }
             StateUpdate::ClusterKeys(read_at) => {
                 self.keys_read_at.set(self.keys_read_at.get().max(read_at));
                 node.reload_times.request_keys(read_at);
             }
             StateUpdate::List(update) => self.list.borrow_mut().on_update(&node.decisions, update)?,
+            StateUpdate::ListRequest => self.list.borrow_mut().on_request(),
         }
         Ok(())
     }
--- a/crates/alderstile-node/src/lifecycle/state_update.rs
+++ b/crates/alderstile-node/src/lifecycle/state_update.rs
@@ -18,6 +18,8 @@
     ClusterKeys(MachineTime),
     /// The endpoint list or its lease has changed.
     List(ListUpdate),
+    /// The sender lacks changes of the list, and needs the complete one.
+    ListRequest,
 }
 
 /// A configuration file that the sender has applied at a reload.
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -14,12 +14,12 @@
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use super::connection_handover;
-use super::list_sync::UpdateTooLong;
+use super::list_sync::{CATCH_UP_TIME, UpdateTooLong};
 use super::state_sync::StateSync;
 use super::upgrade_channel::{MESSAGE_TIMEOUT, UpgradeChannel};
 use super::upgrade_message::{MINOR_VERSION, UpgradeMessage};
@@ -168,7 +168,7 @@
     let (outgoing, messages) = mpsc::unbounded_channel();
     let channel = UpgradeChannel::to_predecessor(outgoing, state.descriptors_in_use, state.minor_version);
     node.process.set_other_process(Some(channel.clone()));
-    let (node, sync) = (node.clone(), channel.accepts_updates().then(|| StateSync::new(node)));
+    let (node, sync) = (node.clone(), channel.accepts_updates().then(|| StateSync::new(node, CATCH_UP_TIME)));
     async move {
         exchange_messages(&node, &channel, sync.as_ref(), stream, messages).await;
         info!("upgrade channel to predecessor closed");
@@ -242,7 +242,7 @@
     // Set first, so that messages queued from now on follow the state.
     node.process.set_other_process(Some(channel.clone()));
     let state = UpgradeMessage::State(Box::new(node.hand_over_state(VERSION)));
-    let sync = channel.accepts_updates().then(|| StateSync::new(node));
+    let sync = channel.accepts_updates().then(|| StateSync::new(node, CATCH_UP_TIME));
     // The ids follow the state directly, so that the successor has received them before it accepts clients.
     let accepted = channel.reports_request_ends();
     let ended_ids = if accepted { node.clients.request_ids().ended() } else { Vec::new() };
@@ -323,12 +323,18 @@
             write(&mut writer, &UpgradeMessage::MemoryInUse(memory)).await?;
             sent_memory = Some(memory);
         }
-        match sync.and_then(|sync| sync.next_update(node)) {
-            Some(update) => write(&mut writer, &UpgradeMessage::Update(update)).await?,
+        let update = sync.and_then(|sync| sync.next_update(node));
+        let max_wait = if update.is_some() { Duration::ZERO } else { CHANGE_CHECK_INTERVAL };
+        match update {
+            Some(update) => {
+                write(&mut writer, &UpgradeMessage::Update(update)).await?;
+                // A large list is sent in many parts: other tasks run in between.
+                yield_now().await;
+            }
             None if outgoing.is_empty() => channel.on_flushed(),
             None => {}
         }
-        if let Ok(Some(message)) = timeout(CHANGE_CHECK_INTERVAL, outgoing.recv()).await {
+        if let Ok(Some(message)) = timeout(max_wait, outgoing.recv()).await {
             channel.on_dequeued(&message);
             write(&mut writer, &message).await?;
         }
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -88,6 +88,7 @@
     };
     assert_eq!(update.read_at, MachineTime(123_456_789));
     assert_eq!(update.file, json!({"discovery": "127.0.0.1:7100", "name": "n1"}));
+    assert!(matches!(message("update_list_request"), UpgradeMessage::Update(StateUpdate::ListRequest)));
     let UpgradeMessage::Update(StateUpdate::ClusterKeys(read_at)) = message("update_cluster_keys") else {
         panic!("no keys")
     };
--- a/crates/alderstile-node/tests/upgrade_list.rs
+++ b/crates/alderstile-node/tests/upgrade_list.rs
@@ -68,7 +68,7 @@
             let config = Config::from_file_value(node_config("127.0.0.1:9000", DISCOVERY), |_| None);
             let node = Node::new(config.expect("a valid configuration"));
             node.decisions.apply_list(&complete(40, (0..3).map(|host| endpoint(host, Health::Up)).collect()));
-            let sync = ListSync::new(&node.decisions);
+            let sync = ListSync::new(&node.decisions, Micros(0));
             Side { node, sync }
         })
     }
@@ -91,11 +91,17 @@
     }
 }
 
-/// Sends what each process lacks to the other one.
+/// Sends what each process lacks to the other one, and requests what is missing then.
 fn exchange([first, second]: &mut [Side; 2]) {
     let (of_first, of_second) = (first.sent(), second.sent());
     first.receive(of_second);
     second.receive(of_first);
+    if first.sync.take_request(&first.node.decisions) {
+        second.sync.on_request();
+    }
+    if second.sync.take_request(&second.node.decisions) {
+        first.sync.on_request();
+    }
 }
 
 #[test]
@@ -176,7 +182,7 @@
     let known = Some(40);
     for (update, known, expected) in [
         (update(41, 40, false), known, ListComparison::Newer),
-        (update(41, 39, false), known, ListComparison::Newer),
+        (update(41, 39, false), known, ListComparison::Unrelated),
         (update(43, 42, false), known, ListComparison::Unrelated),
         (update(43, 0, true), known, ListComparison::Newer),
         (update(40, 40, false), known, ListComparison::Same),
@@ -225,7 +231,7 @@
     exchange(&mut sides);
     assert_eq!(sides[1].health(0), Some(Health::Up));
     sides[1].node.decisions.set_discovery_address(discovery());
-    sides[0].sync.forget_known();
+    sides[0].sync.on_request();
     exchange(&mut sides);
     assert_eq!(sides[1].health(0), Some(Health::Draining));
 }
--- a/crates/alderstile-node/tests/upgrade_reload.rs
+++ b/crates/alderstile-node/tests/upgrade_reload.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use alderstile::types::Micros;
 use alderstile_node::clock::MachineTime;
 use alderstile_node::config::{ClusterConfig, Config};
 use alderstile_node::discovery::endpoint_list::server_id;
@@ -136,7 +137,7 @@
 fn next_config(sync: &StateSync, node: &Node) -> Option<ConfigUpdate> {
     std::iter::from_fn(|| sync.next_update(node)).find_map(|update| match update {
         StateUpdate::Config(update) => Some(update),
-        StateUpdate::ClusterKeys(_) | StateUpdate::List(_) => None,
+        StateUpdate::ClusterKeys(_) | StateUpdate::List(_) | StateUpdate::ListRequest => None,
     })
 }
 
@@ -147,7 +148,7 @@
     let (older, newer) = (update(5, &value, "127.0.0.1:8505"), update(7, &value, "127.0.0.1:8507"));
     for order in [[&older, &newer], [&newer, &older]] {
         let node = node(&value);
-        let sync = StateSync::new(&node);
+        let sync = StateSync::new(&node, Micros(0));
         order.into_iter().for_each(|update| sync.on_update(&node, update.clone()).expect("applied"));
         assert_eq!(node.config().discovery.port(), 8507);
         assert_eq!(node.decisions.discovery_address().port(), 8507);
@@ -163,7 +164,7 @@
     let accepted = update(5, &value, "127.0.0.1:8505");
     value["settings"]["obligations"]["stop_sending_within"] = json!(500_000);
     let node = node(&value);
-    StateSync::new(&node).on_update(&node, accepted).expect("applied");
+    StateSync::new(&node, Micros(0)).on_update(&node, accepted).expect("applied");
     assert_eq!(node.config().discovery.port(), 8505);
 }
 
@@ -171,10 +172,10 @@
 fn configuration_is_sent_once_with_its_last_value() {
     let value = node_config("127.0.0.1:9000", "127.0.0.1:8500");
     let node = node(&value);
-    let sync = StateSync::new(&node);
+    let sync = StateSync::new(&node, Micros(0));
     assert!(next_config(&sync, &node).is_none());
     // Two changes that are received on another channel, before this one has sent anything.
-    let other_channel = StateSync::new(&node);
+    let other_channel = StateSync::new(&node, Micros(0));
     for (read_at, discovery) in [(5, "127.0.0.1:8505"), (7, "127.0.0.1:8507")] {
         other_channel.on_update(&node, update(read_at, &value, discovery)).expect("applied");
     }
@@ -256,7 +257,7 @@
 fn keys_are_requested_once_for_each_reload() {
     run(async {
         let node = node(&node_config("127.0.0.1:9000", "127.0.0.1:8500"));
-        let sync = StateSync::new(&node);
+        let sync = StateSync::new(&node, Micros(0));
         let times = &node.reload_times;
         for (read_at, expected) in [(5, true), (5, false), (4, false), (6, true)] {
             sync.on_update(&node, StateUpdate::ClusterKeys(MachineTime(read_at))).expect("applied");
