Pass over a watch's first list where the other process has sent a newer one

Seen in reading, then in a test: discovery that answers slowly may begin a watch with a complete list made before the other process was told of a drain; it replaced the newer list, and the drain was undone until the next line. Cause: a complete list was applied whatever its version, as that of a discovery that counts anew has a lower one. Evidence: the new test fails before (listed up after the drain) and passes; it also holds that a list of renumbered versions is applied. Change: the first line is passed over if it is older than the known list but not than the version from which the watch was opened.

--- a/crates/alderstile-node/src/discovery/watch.rs
+++ b/crates/alderstile-node/src/discovery/watch.rs
@@ -129,7 +129,7 @@
             // The other process may have sent a newer list since the call began.
             let newer = decisions.known_list_version().filter(|known| *known > list.version);
             match newer {
-                Some(_) => decisions.report_list(EndpointListKind::Delta, Vec::new()),
+                Some(_) => report_unchanged(decisions),
                 None => apply(decisions, &list),
             }
             decisions.renew_lease();
@@ -138,7 +138,7 @@
     };
     let path = format!("/catalog/members?stream=1&index={known}");
     let (response, _connection) = call(decisions, &path, Instant::now() + CALL_TIMEOUT).await?;
-    follow(decisions, response).await
+    follow(decisions, known, response).await
 }
 
 async fn fetch_complete_list(decisions: &Decisions) -> Result<EndpointList, WatchError> {
@@ -189,11 +189,15 @@
     Ok(stream)
 }
 
-/// Applies the lines of a watch until it ends.
-async fn follow(decisions: &Decisions, mut response: Response<Incoming>) -> Result<(), WatchError> {
+/// Applies the lines of a watch that was opened from a version, until it ends.
+async fn follow(
+    decisions: &Decisions,
+    opened_from: u64,
+    mut response: Response<Incoming>,
+) -> Result<(), WatchError> {
     // A line may be split over several HTTP chunks, and a chunk may contain several lines.
     let mut framer = JsonFramer::default();
-    let (mut first_line, mut last_line_at) = (true, Instant::now());
+    let (mut opened_from, mut last_line_at) = (Some(opened_from), Instant::now());
     loop {
         // Only a complete line resets the timeout, so that a watch that brings only parts of a line is not
         // kept for ever.
@@ -206,27 +210,41 @@
                 return Err(WatchError::LineTooLong);
             }
             let Some(line) = line else { continue };
-            on_line(decisions, &line, first_line)?;
+            on_line(decisions, &line, opened_from)?;
             decisions.renew_lease();
-            (first_line, last_line_at) = (false, Instant::now());
+            (opened_from, last_line_at) = (None, Instant::now());
         }
     }
 }
 
-fn on_line(decisions: &Decisions, line: &[u8], first_line: bool) -> Result<(), WatchError> {
-    if !line.is_empty() {
-        let list: EndpointList = serde_json::from_slice(line)?;
-        // A delta older than the known version would undo later changes.
-        if list.complete || decisions.known_list_version().is_none_or(|known| list.version >= known) {
-            apply(decisions, &list);
+/// Applies a line of a watch. `opened_from` is the version from which the watch was opened if this is its first
+/// line, and `None` for the others.
+fn on_line(decisions: &Decisions, line: &[u8], opened_from: Option<u64>) -> Result<(), WatchError> {
+    if line.is_empty() {
+        if opened_from.is_some() {
+            report_unchanged(decisions);
         }
-    } else if first_line {
-        // Nothing has changed since the known version; reports that the call succeeded.
-        decisions.report_list(EndpointListKind::Delta, Vec::new());
+        return Ok(());
+    }
+    let list: EndpointList = serde_json::from_slice(line)?;
+    let is_older = decisions.known_list_version().is_some_and(|known| list.version < known);
+    // The other process may have sent a newer list since the call began. Any other complete list with a lower
+    // version is of a discovery that counts its versions anew.
+    let is_overtaken = is_older && opened_from.is_some_and(|from| list.version >= from);
+    if is_overtaken {
+        report_unchanged(decisions);
+    } else if list.complete || !is_older {
+        // A delta older than the known version would undo later changes.
+        apply(decisions, &list);
     }
     Ok(())
 }
 
+/// Reports that a call succeeded and brought nothing newer than the known list.
+fn report_unchanged(decisions: &Decisions) {
+    decisions.report_list(EndpointListKind::Delta, Vec::new());
+}
+
 fn apply(decisions: &Decisions, list: &EndpointList) {
     let (version, complete, endpoints) = (list.version, list.complete, list.endpoints.len());
     info!(version, complete, endpoints, "endpoint list received");
--- a/crates/alderstile-node/tests/endpoint_watch.rs
+++ b/crates/alderstile-node/tests/endpoint_watch.rs
@@ -121,3 +121,37 @@
         assert!(node.decisions.can_serve(), "discovery has answered");
     });
 }
+
+/// Guards against a watch that begins with a complete list, made before the other process of the node was told
+/// of a drain, and undoes it (issue 64).
+#[test]
+fn first_line_that_is_older_than_the_other_process_s_list_is_passed_over() {
+    run(async {
+        let host = StubHost::new("s-1").await;
+        let known = serde_json::json!({"seq": 41, "whole": true, "hosts": [host.list_entry("up")]});
+        let test_node = start_node(|value| value["known"] = known).await;
+        let (request_line, mut watch) = test_node.discovery.accept_call().await;
+        assert!(request_line.contains("index=41"), "{request_line}");
+        let newer = serde_json::json!({
+            "from": test_node.discovery.0.local_addr().expect("bound"), "after": 41, "more": false,
+            "lease_until": 0, "list": {"seq": 43, "whole": false, "hosts": [host.list_entry("draining")]},
+        });
+        let decisions = &test_node.node.decisions;
+        let newer = serde_json::from_value(newer).expect("an update");
+        assert_eq!(decisions.apply_list_update(&newer), ListComparison::Newer);
+        watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        send_chunk(&mut watch, &list_line(42, true, &[host.list_entry("up")])).await;
+        test_node.wait_until_ready().await;
+        assert_eq!(decisions.complete_list().endpoints[0].health, Health::Draining);
+        // What comes after that is applied, and so is a list of a discovery that counts anew.
+        send_chunk(&mut watch, &list_line(44, false, &[host.list_entry("up")])).await;
+        while decisions.complete_list().endpoints[0].health != Health::Up {
+            sleep(Duration::from_millis(1)).await;
+        }
+        drop(watch);
+        let _watch = test_node.discovery.accept_watch(&[&list_line(2, true, &[host.list_entry("up")])]).await;
+        while decisions.known_list_version() != Some(2) {
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
