--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -6,7 +6,7 @@
 use crate::types::{Action, ClassSettings, DedupScope, Idempotency, Micros};
 
 use super::Policy;
-use super::connection::Connection;
+use super::connection::{Connection, FirstExecution};
 use super::period::PERIOD;
 use super::server::ServerIndex;
 
@@ -39,11 +39,11 @@
     }
 
     /// Answers a request that gets no further attempt. The answer is sent at once, so that the client
-    /// can retry. A request that may have been executed and cannot safely be repeated at every
-    /// server fails; any other is rejected.
-    pub(super) fn give_up(&mut self, connection: &Connection, actions: &mut Vec<Action>) {
+    /// can retry. A request that may have been executed and that the client cannot safely repeat
+    /// fails; any other is rejected.
+    pub(super) fn give_up(&mut self, now: Micros, connection: &Connection, actions: &mut Vec<Action>) {
         let id = connection.request.id;
-        if connection.first_execution.is_some() && !self.is_idempotent_anywhere(connection) {
+        if !self.client_may_repeat(now, connection) {
             actions.push(Action::Fail(id));
             return;
         }
@@ -51,21 +51,31 @@
         actions.push(Action::Reject(id, self.settings.retry_after_allowed.then_some(retry_after)));
     }
 
-    /// Returns whether the client may safely send the request again to any server.
-    fn is_idempotent_anywhere(&self, connection: &Connection) -> bool {
-        let anywhere = |class: &ClassSettings| {
-            matches!(class.idempotency, Idempotency::Idempotent | Idempotency::Deduplicated(DedupScope::All))
+    /// Returns whether the client may safely repeat the request. Servers that ignore duplicates do so
+    /// until the deduplication window ends; a repeat comes after the Retry-After time at the latest,
+    /// and may be sent until its own deadline.
+    fn client_may_repeat(&self, now: Micros, connection: &Connection) -> bool {
+        let Some(FirstExecution { sent, .. }) = connection.first_execution else { return true };
+        let longest_retry_after = self.longest_retry_after(connection);
+        let repeat_ends = now + longest_retry_after + connection.request.time_remaining;
+        let is_safe = |class: &ClassSettings| match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Deduplicated(DedupScope::All) => repeat_ends <= sent + class.dedup_window,
+            Idempotency::Deduplicated(_) | Idempotency::NotIdempotent => false,
         };
         let known = self.binding_classes(connection).next().is_some();
-        known && self.binding_classes(connection).all(anywhere)
+        known && self.binding_classes(connection).all(is_safe)
     }
 
     /// Draws a Retry-After time between half of the latency objective and all of it. The jitter
     /// prevents clients that were rejected together from reconnecting together.
     fn random_retry_after(&mut self, connection: &Connection) -> Micros {
+        self.longest_retry_after(connection).scale(0.5 + 0.5 * self.rng.random::<f64>())
+    }
+
+    fn longest_retry_after(&self, connection: &Connection) -> Micros {
         let class = self.settings.classes.get(usize::from(connection.request.class));
         let objective = class.map_or(PERIOD, |class| class.latency_objective);
-        let longest = objective.min(self.settings.max_retry_after);
-        longest.scale(0.5 + 0.5 * self.rng.random::<f64>())
+        objective.min(self.settings.max_retry_after)
     }
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -19,7 +19,7 @@
     pub(super) fn attempt(&mut self, now: Micros, connection: Connection, actions: &mut Vec<Action>) {
         let allowed = self.may_attempt(now, &connection);
         let Some(index) = allowed.then(|| self.select_server(now, &connection)).flatten() else {
-            return self.give_up(&connection, actions);
+            return self.give_up(now, &connection, actions);
         };
         if self.needs_probe(now, index, &connection) {
             return self.wait_for_probe(index, connection, actions);
@@ -135,7 +135,7 @@
         actions: &mut Vec<Action>,
     ) {
         if self.client_has_given_up(&connection, outcome) || !self.has_retry_token(outcome) {
-            return self.give_up(&connection, actions);
+            return self.give_up(now, &connection, actions);
         }
         self.spend_retry_token(outcome);
         self.attempt(now, connection, actions);
--- a/tests/policy/retry.rs
+++ b/tests/policy/retry.rs
@@ -122,6 +122,34 @@
     assert!(!node.policy.may_still_send(node.now, RequestId(1)));
 }
 
+/// Guards against a rejection that tells a client to come again when the servers have forgotten its first attempt,
+/// which may have been executed: it is executed twice (issue 64, review/7).
+#[test]
+fn request_that_may_have_been_executed_is_rejected_only_if_a_repeat_fits_into_the_deduplication_window() {
+    // The window is 1 s, and a client comes again after at most 0.3 s. Its repeat may be sent until its own
+    // time is over.
+    for (ended_after, time_remaining, rejected) in
+        [(100, 500, true), (100, 700, false), (250, 400, true), (550, 200, false), (990, 10, false)]
+    {
+        let class = class(Idempotency::Deduplicated(DedupScope::All));
+        let dedup = BalancerSettings { classes: vec![class], max_attempts: 1, ..settings() };
+        let mut node = Node::new(dedup, 2);
+        node.send_request(Request { time_remaining: ms(time_remaining), ..request(1) });
+        node.pass(ms(ended_after));
+        node.end(1, Outcome::Timeout);
+        let answer = node.last.last();
+        assert_eq!(node.rejected(1).is_some(), rejected, "{ended_after} {time_remaining} {answer:?}");
+        assert_eq!(answer == Some(&Action::Fail(RequestId(1))), !rejected);
+    }
+    // A request that was never executed is rejected at any time.
+    let class = class(Idempotency::Deduplicated(DedupScope::All));
+    let mut node = Node::new(BalancerSettings { classes: vec![class], max_attempts: 1, ..settings() }, 2);
+    node.send_request(request(1));
+    node.pass(ms(2_000));
+    node.end(1, Outcome::ConnectFailed);
+    assert!(node.rejected(1).is_some());
+}
+
 #[test]
 fn attempt_not_forwarded_ejects_no_server_needs_no_token_and_goes_to_another_server() {
     let (mut node, server) = with_attempt_in_flight(settings(), 2);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -296,9 +296,13 @@
                     assert!(wait.is_none_or(|w| w <= self.settings.max_retry_after));
                     let state = self.answer(*id);
                     let class = &self.settings.classes[usize::from(state.class)];
-                    let safe_to_retry = match class.idempotency {
-                        Idempotency::Idempotent | Idempotency::Deduplicated(DedupScope::All) => true,
-                        _ => state.first_execution.is_none(),
+                    let repeated_at = self.now + wait.unwrap_or_default();
+                    let safe_to_retry = match (class.idempotency, state.first_execution) {
+                        (_, None) | (Idempotency::Idempotent, _) => true,
+                        (Idempotency::Deduplicated(DedupScope::All), Some((_, sent))) => {
+                            repeated_at < sent + class.dedup_window
+                        }
+                        _ => false,
                     };
                     assert!(safe_to_retry, "rejected {id:?}, which may have been executed");
                 }
