Answer the successor's last questions before the predecessor ends

Cause: a question about an id that was under way when the predecessor ended had no answer. Change: a process that is about to end says so and waits for the acknowledgement; the successor asks nothing after it.

--- a/crates/alderstile-node/src/lifecycle/shutdown.rs
+++ b/crates/alderstile-node/src/lifecycle/shutdown.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use tracing::{info, warn};
 
 use super::connection_handover;
@@ -108,9 +108,11 @@
     task
 }
 
-/// Sends the other process what it does not have yet: it continues as the node.
+/// Answers the last questions of the other process, which continues as the node, and sends it what it does not
+/// have yet.
 async fn flush_upgrade_channel(node: &Node, schedule: Schedule) {
     if let Some(other) = node.process.other_process() {
+        let _timed_out = timeout_at(schedule.end, other.send_leaving()).await;
         other.flush(MESSAGE_TIMEOUT.min(schedule.end.saturating_duration_since(Instant::now()))).await;
     }
 }
--- a/crates/alderstile-node/src/lifecycle/upgrade.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade.rs
@@ -379,6 +379,10 @@
         UpgradeMessage::Update(update) => {
             sync.ok_or(ChannelError::UnexpectedMessage)?.on_update(node, update)?;
         }
+        UpgradeMessage::Leaving { number } => {
+            channel.set_leaving();
+            channel.send(UpgradeMessage::Ack { number });
+        }
         UpgradeMessage::StoppedAccepting => channel.set_serves(false),
         UpgradeMessage::Ack { number } => channel.on_ack(number),
         UpgradeMessage::Join { .. } | UpgradeMessage::State(_) | UpgradeMessage::AlreadyJoined => {
--- a/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_channel.rs
@@ -43,6 +43,8 @@
     /// The number of descriptors that the other process has open.
     pub descriptors_in_use: Cell<usize>,
     serves: Cell<bool>,
+    /// Whether the other process is about to end and admits no more requests.
+    is_leaving: Cell<bool>,
     /// Whether the other process is this one's successor; otherwise it is the predecessor.
     pub is_successor: bool,
     /// The other process's [`MINOR_VERSION`](super::upgrade_message::MINOR_VERSION).
@@ -136,6 +138,7 @@
             outgoing,
             descriptors_in_use: Cell::new(descriptors_in_use),
             serves: Cell::new(!is_successor),
+            is_leaving: Cell::new(false),
             is_successor,
             minor_version,
             next_number: Cell::new(0),
@@ -249,7 +252,20 @@
     /// Returns whether the other process decides which requests may be admitted: of two processes that know
     /// each other's ids, the predecessor does, so that one id is admitted once.
     pub fn decides_claims(&self) -> bool {
-        !self.is_successor && self.reports_request_ends()
+        !self.is_successor && self.reports_request_ends() && !self.is_leaving.get()
+    }
+
+    /// Records that the other process is about to end: it is asked no more questions.
+    pub fn set_leaving(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Reports that this process is about to end and admits no more requests. When this returns, the other
+    /// process asks no more questions, and those that it asked before have been received.
+    pub async fn send_leaving(self: &Rc<Self>) {
+        if self.accepts_updates() {
+            self.request(|number| UpgradeMessage::Leaving { number }).await;
+        }
     }
 
     /// Asks the predecessor to confirm that an id is new.
--- a/crates/alderstile-node/src/lifecycle/upgrade_message.rs
+++ b/crates/alderstile-node/src/lifecycle/upgrade_message.rs
@@ -96,6 +96,12 @@
     EndedIds(Vec<IdDigest>),
     /// Reports a change of a value that both processes share. Sent from minor version 2 on.
     Update(StateUpdate),
+    /// Reports that the sender is about to end and admits no more requests; acknowledged. Sent from minor version
+    /// 2 on.
+    Leaving {
+        /// The number of the acknowledgement.
+        number: u64,
+    },
     /// Reports that the sender accepts no more clients.
     #[serde(rename = "closed")]
     StoppedAccepting,
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -11,7 +11,7 @@
 use alderstile_node::config::NodeIdentity;
 use alderstile_node::lifecycle::upgrade;
 use alderstile_node::proxy::clients::MAX_CONCURRENT_HANDOVERS;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixDatagram, UnixListener, UnixStream};
 use tokio::task::spawn_local;
@@ -365,16 +365,17 @@
     });
 }
 
-/// Joins the process in a directory as a successor that reports that it is ready. Returns the upgrade channel,
-/// and the socket on which connections are received.
-async fn join_as_ready_successor(dir: &Path) -> (BufReader<UnixStream>, UnixDatagram) {
+/// Joins the process in a directory as a successor of a minor version that reports that it is ready. Returns the
+/// upgrade channel, and the socket on which connections are received.
+async fn join_as_ready_successor(dir: &Path, minor_version: u32) -> (BufReader<UnixStream>, UnixDatagram) {
     let socket_name =
         format!("alderstile-{:016x}", alderstile_node::discovery::endpoint_list::server_id("n1").0);
     let stream = UnixStream::connect(dir.join(format!("{socket_name}.sock")));
     let mut stream = BufReader::new(stream.await.expect("the socket of the predecessor"));
     let handover_socket = UnixDatagram::bind(dir.join(format!("{socket_name}.pass"))).expect("bound");
-    let messages = b"{\"join\":{\"version\":1}}\n{\"ready\":{\"number\":7}}\n";
-    stream.get_mut().write_all(messages).await.expect("sent");
+    let join = json!({"join": {"version": 1, "minor_version": minor_version}});
+    let messages = format!("{join}\n{}\n", json!({"ready": {"number": 7}}));
+    stream.get_mut().write_all(messages.as_bytes()).await.expect("sent");
     let mut line = String::new();
     while !line.contains("\"done\"") {
         line.clear();
@@ -394,7 +395,7 @@
         for id in 0..CLIENTS {
             clients.push(connect_served(listen_address(&value), id).await);
         }
-        let (_stream, handover_socket) = join_as_ready_successor(&dir).await;
+        let (_stream, handover_socket) = join_as_ready_successor(&dir, 0).await;
         old.signal("-TERM").await;
         let mut received = 0;
         let receive = async {
@@ -418,6 +419,36 @@
     });
 }
 
+/// Guards against a predecessor that ends while its successor's question is on its way: the client whose id it
+/// concerns is refused (issue 64).
+#[test]
+fn predecessor_answers_the_questions_that_were_asked_before_the_successor_knew_of_its_end() {
+    run(async {
+        let ServedNode { process: mut old, dir, .. } = ServedNode::start("asked").await;
+        let (mut stream, _handover_socket) = join_as_ready_successor(&dir, 2).await;
+        old.signal("-TERM").await;
+        let mut line = String::new();
+        while !line.contains("\"leaving\"") {
+            line.clear();
+            assert!(stream.read_line(&mut line).await.expect("a message") > 0, "ended without a word");
+        }
+        let leaving: Value = serde_json::from_str(&line).expect("JSON");
+        let question = json!({"claim_id": {"number": 3, "id": 77}});
+        let ack = json!({"done": {"number": leaving["leaving"]["number"]}});
+        stream.get_mut().write_all(format!("{question}\n{ack}\n").as_bytes()).await.expect("sent");
+        while !line.contains("\"claim_answer\"") {
+            line.clear();
+            assert!(stream.read_line(&mut line).await.expect("a message") > 0, "ended without an answer");
+        }
+        assert_eq!(
+            serde_json::from_str::<Value>(&line).expect("JSON"),
+            json!({"claim_answer": {"number": 3, "granted": true}})
+        );
+        let ended = timeout(Duration::from_secs(5), old.child.wait()).await;
+        assert!(ended.expect("in time").expect("ended").success());
+    });
+}
+
 #[test]
 fn clients_are_migrated_if_the_successor_dies_before_receiving_their_connections() {
     // The kernel closes descriptors that lie unread in the socket of a process that ends. The predecessor
@@ -428,7 +459,7 @@
         for id in 0..5 {
             clients.push(connect_served(listen_address(&value), id).await);
         }
-        let (stream, handover_socket) = join_as_ready_successor(&dir).await;
+        let (stream, handover_socket) = join_as_ready_successor(&dir, 0).await;
         old.signal("-TERM").await;
         handover_socket.readable().await.expect("handed over");
         drop((handover_socket, stream));
--- a/crates/alderstile-node/tests/upgrade_compatibility.rs
+++ b/crates/alderstile-node/tests/upgrade_compatibility.rs
@@ -3,7 +3,7 @@
 //!
 //! The files under `fixtures/upgrade` and `fixtures/handover` were written by version cc53de7, apart from
 //! `join_minor_version`, `id_claimed`, `id_ended`, `ended_ids`, `claim_id`,
-//! `claim_answer`, `memory`, `hello_with_open_ids` and those that begin with `update`, whose fields and messages
+//! `claim_answer`, `memory`, `leaving`, `hello_with_open_ids` and those that begin with `update`, whose fields and messages
 //! are later additions.
 
 use std::cell::{Cell, RefCell};
@@ -78,6 +78,7 @@
     assert!(matches!(message("claim_id"), UpgradeMessage::ClaimRequest { number: 8, id: IdDigest(DIGEST) }));
     assert!(matches!(message("claim_answer"), UpgradeMessage::ClaimAnswer { number: 8, granted: true }));
     assert!(matches!(message("memory"), UpgradeMessage::MemoryInUse(65_536)));
+    assert!(matches!(message("leaving"), UpgradeMessage::Leaving { number: 9 }));
     assert!(matches!(message("closed"), UpgradeMessage::StoppedAccepting));
 }
 
