Compare endpoints only while changes are recorded, and state one rule once

Cause: seen on reading the whole change. Each applied list compared all its records with the known ones although changes are recorded during an upgrade only; the rule for an answer that a newer list has overtaken stood in two forms in the watch; a complete list for the other process first copied the changes, which it then dropped. Change: the comparison waits for the recording; the first call and the first line share one function; the changes are forgotten, not copied. Behaviour stays.

--- a/crates/alderstile-node/src/discovery/endpoint_table.rs
+++ b/crates/alderstile-node/src/discovery/endpoint_table.rs
@@ -35,9 +35,7 @@
         }
         for endpoint in &list.endpoints {
             let id = server_id(&endpoint.name);
-            if self.endpoints.get(&id).is_none_or(|(_, known)| known != endpoint) {
-                self.record_change(&endpoint.name);
-            }
+            self.record_change(id, endpoint);
             match endpoint.address {
                 Some(address) if endpoint.health != Health::Removed => {
                     let host = HostAddress { name: endpoint.name.as_str().into(), address };
@@ -52,17 +50,22 @@
 
     fn remove_unlisted(&mut self, list: &EndpointList) {
         let listed: BTreeSet<_> = list.endpoints.iter().map(|endpoint| server_id(&endpoint.name)).collect();
-        let unlisted: Vec<_> = self.endpoints.keys().filter(|id| !listed.contains(id)).copied().collect();
-        for id in unlisted {
-            if let Some((host, _)) = self.endpoints.remove(&id) {
-                self.record_change(&host.name);
+        let changed = &mut self.changed;
+        self.endpoints.retain(|id, (host, _)| {
+            let is_listed = listed.contains(id);
+            if !is_listed && let Some(changed) = changed {
+                changed.insert(host.name.to_string());
             }
-        }
+            is_listed
+        });
     }
 
-    fn record_change(&mut self, name: &str) {
-        if let Some(changed) = &mut self.changed {
-            changed.insert(name.to_owned());
+    /// Records the host if its endpoint is about to change.
+    fn record_change(&mut self, id: ServerId, endpoint: &EndpointRecord) {
+        if let Some(changed) = &mut self.changed
+            && self.endpoints.get(&id).is_none_or(|(_, known)| known != endpoint)
+        {
+            changed.insert(endpoint.name.clone());
         }
     }
 
--- a/crates/alderstile-node/src/discovery/watch.rs
+++ b/crates/alderstile-node/src/discovery/watch.rs
@@ -126,14 +126,9 @@
         Some(known) => known,
         None => {
             let list = fetch_complete_list(decisions).await?;
-            // The other process may have sent a newer list since the call began.
-            let newer = decisions.known_list_version().filter(|known| *known > list.version);
-            match newer {
-                Some(_) => report_unchanged(decisions),
-                None => apply(decisions, &list),
-            }
+            apply_list(decisions, &list, Some(0));
             decisions.renew_lease();
-            newer.unwrap_or(list.version)
+            decisions.known_list_version().unwrap_or(list.version)
         }
     };
     let path = format!("/catalog/members?stream=1&index={known}");
@@ -226,7 +221,13 @@
         }
         return Ok(());
     }
-    let list: EndpointList = serde_json::from_slice(line)?;
+    apply_list(decisions, &serde_json::from_slice(line)?, opened_from);
+    Ok(())
+}
+
+/// Applies a list that a call brought, unless the known one is newer. `opened_from` is the version from which the
+/// call was made if this is its first answer, 0 if it was made without one.
+fn apply_list(decisions: &Decisions, list: &EndpointList, opened_from: Option<u64>) {
     let is_older = decisions.known_list_version().is_some_and(|known| list.version < known);
     // The other process may have sent a newer list since the call began. Any other complete list with a lower
     // version is of a discovery that counts its versions anew.
@@ -235,9 +236,8 @@
         report_unchanged(decisions);
     } else if list.complete || !is_older {
         // A delta older than the known version would undo later changes.
-        apply(decisions, &list);
+        apply(decisions, list);
     }
-    Ok(())
 }
 
 /// Reports that a call succeeded and brought nothing newer than the known list.
--- a/crates/alderstile-node/src/lifecycle/list_sync.rs
+++ b/crates/alderstile-node/src/lifecycle/list_sync.rs
@@ -133,8 +133,12 @@
         if is_sent || self.is_renumbered {
             return;
         }
-        let changes = decisions.take_list_changes();
-        let endpoints = if known.is_some() { changes } else { decisions.complete_list().endpoints };
+        let endpoints = if known.is_some() {
+            decisions.take_list_changes()
+        } else {
+            decisions.record_list_changes(true);
+            decisions.complete_list().endpoints
+        };
         let ListVersion { source, version } = present;
         let part = |endpoints| ListUpdate {
             source,
