Share the upgrade tests' set-up with what the test support already had

Cause: the tests of this work had their own copies of a host that counts its requests, of a discovery that rejects calls, of the answer with a complete list, of the channel's socket path and of a predecessor with an open watch. Change: they use serve_host; the other pieces move to the support modules and serve lease, reload, race_conditions and upgrade, too. All assertions stay.

--- a/crates/alderstile-node/tests/endpoint_watch.rs
+++ b/crates/alderstile-node/tests/endpoint_watch.rs
@@ -85,7 +85,7 @@
         let (request_line, mut call) = discovery.accept_call().await;
         assert_eq!(request_line, "GET /catalog/members HTTP/1.1");
         let list = list_line(20, true, &[host.list_entry("up")]);
-        call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+        send_complete_list(&mut call, &list).await;
         let (request_line, _watch) = discovery.accept_call().await;
         assert!(request_line.contains("index=20"), "{request_line}");
         assert_eq!(node.hand_over_state(1).endpoints_source, None);
@@ -114,7 +114,7 @@
         let newer = serde_json::from_value(newer).expect("an update");
         assert_eq!(node.decisions.apply_list_update(&newer), ListComparison::Newer);
         let older = list_line(42, true, &[host.list_entry("up")]);
-        call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{older}", older.len())).await;
+        send_complete_list(&mut call, &older).await;
         let (request_line, _watch) = discovery.accept_call().await;
         assert!(request_line.contains("index=43"), "{request_line}");
         assert_eq!(node.decisions.complete_list().endpoints[0].health, Health::Draining);
--- a/crates/alderstile-node/tests/lease.rs
+++ b/crates/alderstile-node/tests/lease.rs
@@ -8,8 +8,6 @@
 use alderstile_node::discovery::lease::Lease;
 use alderstile_node::node::Node;
 use serde_json::{Value, json};
-use tokio::io::AsyncWriteExt;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
 
 mod support;
@@ -45,18 +43,6 @@
     assert!(timeout(Duration::from_millis(50), host.accept()).await.is_err(), "attempt made nevertheless");
 }
 
-/// Answers each call with 503 after a delay, as discovery does when it is overloaded.
-async fn reject_calls(discovery: &StubDiscovery, after: Duration) {
-    loop {
-        let (_, mut call) = discovery.accept_call().await;
-        spawn_local(async move {
-            tokio::time::sleep(after).await;
-            let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-            call.0.get_mut().write_all(answer).await.unwrap_or_default();
-        });
-    }
-}
-
 /// Runs a test together with a stub of discovery, and returns the output of the test.
 async fn run_alongside<T>(discovery: impl Future<Output = ()>, test: impl Future<Output = T>) -> T {
     tokio::select! {
@@ -302,7 +288,7 @@
         let last_line_at = Instant::now();
         drop(watch);
         let _established =
-            run_alongside(reject_calls(&test_node.discovery, Duration::from_millis(700)), async {
+            run_alongside(test_node.discovery.reject_calls(Duration::from_millis(700)), async {
                 sleep_until(last_line_at + Duration::from_millis(5_000)).await;
                 assert!(
                     test_node.node.decisions.lease_remaining() > Micros(0),
@@ -344,7 +330,7 @@
         let (test_node, mut watch) = start_ready_node(&[&hosts[0]]).await;
         send_chunk(&mut watch, "\n").await;
         let last_line_at = Instant::now();
-        run_alongside(reject_calls(&test_node.discovery, Duration::from_millis(700)), async {
+        run_alongside(test_node.discovery.reject_calls(Duration::from_millis(700)), async {
             // The watch is silent but stays open.
             sleep_until(last_line_at + Duration::from_millis(1_000)).await;
             let mut open = Vec::new();
--- a/crates/alderstile-node/tests/race_conditions.rs
+++ b/crates/alderstile-node/tests/race_conditions.rs
@@ -661,7 +661,7 @@
         let (line, mut call) = last.accept_call().await;
         assert_eq!(line, "GET /catalog/members HTTP/1.1", "called with the old address's version");
         let body = list_line(9, true, &[host.list_entry("up")]);
-        call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())).await;
+        send_complete_list(&mut call, &body).await;
         let (line, _watch) = last.accept_call().await;
         assert!(line.contains("stream=1&index=9"), "{line}");
         assert!(timeout(ABSENCE_WINDOW, first.accept_call()).await.is_err(), "the first address was called");
--- a/crates/alderstile-node/tests/reload.rs
+++ b/crates/alderstile-node/tests/reload.rs
@@ -33,7 +33,7 @@
     // without version, may return only changes.
     assert_eq!(request_line, "GET /catalog/members HTTP/1.1");
     let body = list_line(seq, true, &hosts.iter().map(|host| host.list_entry("up")).collect::<Vec<_>>());
-    connection.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())).await;
+    send_complete_list(&mut connection, &body).await;
 }
 
 #[test]
--- a/crates/alderstile-node/tests/support/mod.rs
+++ b/crates/alderstile-node/tests/support/mod.rs
@@ -184,6 +184,23 @@
         }
         peer
     }
+
+    /// Answers each call with 503 after a delay, as discovery does when it is overloaded.
+    pub async fn reject_calls(&self, after: Duration) {
+        loop {
+            let (_, mut call) = self.accept_call().await;
+            spawn_local(async move {
+                sleep(after).await;
+                let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                call.0.get_mut().write_all(answer).await.unwrap_or_default();
+            });
+        }
+    }
+}
+
+/// Answers a call with a complete list.
+pub async fn send_complete_list(call: &mut LineConnection, list: &str) {
+    call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
 }
 
 /// Sends a chunk of a response with chunked transfer encoding.
--- a/crates/alderstile-node/tests/support/processes.rs
+++ b/crates/alderstile-node/tests/support/processes.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use alderstile_node::discovery::endpoint_list::server_id;
 use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -168,6 +169,32 @@
     }
 }
 
+/// A process of a node that is ready, and the watch that it has opened at the stub of its discovery.
+pub struct WatchedProcess {
+    pub process: Process,
+    pub value: Value,
+    pub dir: PathBuf,
+    pub discovery: StubDiscovery,
+    pub watch: LineConnection,
+}
+
+impl WatchedProcess {
+    /// Starts the process with an endpoint list of version 1.
+    pub async fn start(name: &str, entries: &[Value]) -> Self {
+        let (dir, discovery) = (temp_dir(name), StubDiscovery::new().await);
+        let value = upgradable_config(&discovery).await;
+        let process = Process::start(&value, &dir).await;
+        let watch = discovery.accept_watch(&[&list_line(1, true, entries)]).await;
+        process.wait_until_ready().await;
+        WatchedProcess { process, value, dir, discovery, watch }
+    }
+}
+
+/// Returns the path of the upgrade channel's socket of the node `n1`.
+pub fn upgrade_socket(dir: &Path) -> PathBuf {
+    dir.join(format!("alderstile-{:016x}.sock", server_id("n1").0))
+}
+
 /// Returns the configuration of a node that can be upgraded.
 pub async fn upgradable_config(discovery: &StubDiscovery) -> Value {
     let listen = free_address().await.to_string();
--- a/crates/alderstile-node/tests/upgrade.rs
+++ b/crates/alderstile-node/tests/upgrade.rs
@@ -368,11 +368,10 @@
 /// Joins the process in a directory as a successor of a minor version that reports that it is ready. Returns the
 /// upgrade channel, and the socket on which connections are received.
 async fn join_as_ready_successor(dir: &Path, minor_version: u32) -> (BufReader<UnixStream>, UnixDatagram) {
-    let socket_name =
-        format!("alderstile-{:016x}", alderstile_node::discovery::endpoint_list::server_id("n1").0);
-    let stream = UnixStream::connect(dir.join(format!("{socket_name}.sock")));
+    let path = upgrade_socket(dir);
+    let stream = UnixStream::connect(&path);
     let mut stream = BufReader::new(stream.await.expect("the socket of the predecessor"));
-    let handover_socket = UnixDatagram::bind(dir.join(format!("{socket_name}.pass"))).expect("bound");
+    let handover_socket = UnixDatagram::bind(path.with_extension("pass")).expect("bound");
     let join = json!({"join": {"version": 1, "minor_version": minor_version}});
     let messages = format!("{join}\n{}\n", json!({"ready": {"number": 7}}));
     stream.get_mut().write_all(messages.as_bytes()).await.expect("sent");
@@ -512,9 +511,7 @@
             upgrade::join(&identity).await.expect("a start without a predecessor").is_none(),
             "no socket"
         );
-        let name =
-            format!("alderstile-{:016x}.sock", alderstile_node::discovery::endpoint_list::server_id("n1").0);
-        let path = dir.join(name);
+        let path = upgrade_socket(&dir);
         drop(UnixListener::bind(&path).expect("bound"));
         assert!(
             upgrade::join(&identity).await.expect("a start without a predecessor").is_none(),
--- a/crates/alderstile-node/tests/upgrade_list.rs
+++ b/crates/alderstile-node/tests/upgrade_list.rs
@@ -1,8 +1,8 @@
 //! The endpoint list during an upgrade: what one process of the node has heard, the other acts on, too.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,6 @@
 use alderstile_node::lifecycle::upgrade_message::UpgradeMessage;
 use alderstile_node::node::Node;
 use serde_json::Value;
-use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -251,80 +250,49 @@
 
 // ---- two processes ----
 
-/// Turns calls away, as a crowded discovery does.
-async fn turn_calls_away(discovery: StubDiscovery) {
-    loop {
-        let (_, mut call) = discovery.accept_call().await;
-        let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-        call.0.get_mut().write_all(answer).await.unwrap_or_default();
-    }
-}
-
-/// Serves each request at a host, and counts them.
-fn count_requests(host: StubHost) -> Rc<Cell<u32>> {
-    let count = Rc::<Cell<u32>>::default();
-    let counted = count.clone();
-    spawn_local(async move {
-        let mut open = Vec::new();
-        loop {
-            let mut connection = host.accept().await;
-            if connection.read_line().await.is_some() {
-                counted.set(counted.get() + 1);
-                connection.send("UP 00ff\r\n").await;
-                open.push(connection);
-            }
-        }
-    });
-    count
-}
-
 /// A host of the tests with two processes.
 struct ListedHost {
     name: &'static str,
     up: Value,
     draining: Value,
-    requests: Rc<Cell<u32>>,
+    served: Rc<RefCell<BTreeMap<String, u32>>>,
 }
 
 impl ListedHost {
     async fn start(name: &'static str) -> Self {
         let host = StubHost::new(name).await;
         let (up, draining) = (host.list_entry("up"), host.list_entry("draining"));
-        ListedHost { name, up, draining, requests: count_requests(host) }
+        let served = Rc::default();
+        serve_host(host, Rc::clone(&served));
+        ListedHost { name, up, draining, served }
+    }
+
+    /// Returns the number of requests that were sent to the host.
+    fn requests(&self) -> u32 {
+        self.served.borrow().values().sum()
     }
 }
 
 /// A predecessor that is ready and watches discovery, with two hosts.
 struct Upgrade {
-    dir: PathBuf,
-    value: Value,
     hosts: [ListedHost; 2],
-    discovery: StubDiscovery,
-    old: Process,
-    old_watch: LineConnection,
+    old: WatchedProcess,
 }
 
 impl Upgrade {
     async fn start(name: &str) -> Self {
-        let (dir, discovery) = (temp_dir(name), StubDiscovery::new().await);
-        let value = upgradable_config(&discovery).await;
         let hosts = [ListedHost::start("s-1").await, ListedHost::start("s-2").await];
-        let list = list_line(1, true, &hosts.each_ref().map(|host| host.up.clone()));
-        let pieces = [list.as_str()];
-        let watch = async { discovery.accept_watch(&pieces).await };
-        let old = Process::start(&value, &dir).await;
-        let old_watch = watch.await;
-        old.wait_until_ready().await;
-        Upgrade { dir, value, hosts, discovery, old, old_watch }
+        let old = WatchedProcess::start(name, &hosts.each_ref().map(|host| host.up.clone())).await;
+        Upgrade { hosts, old }
     }
 
     /// Starts a successor and waits until it is ready, although discovery turns all calls away from now on.
-    async fn start_successor_without_watch(self) -> (Self, Process) {
-        let upgrade = Upgrade { discovery: StubDiscovery::new().await, ..self };
-        spawn_local(turn_calls_away(self.discovery));
-        let new = Process::start(&upgrade.value, &upgrade.dir).await;
+    async fn start_successor_without_watch(&mut self) -> Process {
+        let crowded = std::mem::replace(&mut self.old.discovery, StubDiscovery::new().await);
+        spawn_local(async move { crowded.reject_calls(Duration::ZERO).await });
+        let new = Process::start(&self.old.value, &self.old.dir).await;
         new.wait_until_ready().await;
-        (upgrade, new)
+        new
     }
 
     /// Announces on a watch that the first host drains.
@@ -335,20 +303,20 @@
 
     /// Stops the predecessor and waits for its end.
     async fn stop_old(&mut self) {
-        self.old.signal("-TERM").await;
-        let ended = timeout(Duration::from_secs(5), self.old.child.wait()).await;
+        self.old.process.signal("-TERM").await;
+        let ended = timeout(Duration::from_secs(5), self.old.process.child.wait()).await;
         assert!(ended.expect("in time").expect("ended").success());
     }
 
     /// Asserts that all new clients are served by the second host.
     async fn assert_first_host_unused(&self) {
-        let before = self.hosts.each_ref().map(|host| host.requests.get());
+        let before = self.hosts.each_ref().map(|host| host.requests());
         for id in 0..CLIENTS {
-            let mut client = LineConnection::connect(listen_address(&self.value)).await;
+            let mut client = LineConnection::connect(listen_address(&self.old.value)).await;
             client.send(&format!("OPEN {id:016x} {id:016x} c=chat,d=1000\r\n")).await;
             assert_eq!(client.read_line().await.as_deref(), Some("UP 00ff"));
         }
-        let after = self.hosts.each_ref().map(|host| host.requests.get());
+        let after = self.hosts.each_ref().map(|host| host.requests());
         assert_eq!(after, [before[0], before[1] + CLIENTS], "requests to {}", self.hosts[0].name);
     }
 }
@@ -358,8 +326,9 @@
 #[test]
 fn drain_that_the_predecessor_heard_of_is_kept_by_the_successor() {
     run(async {
-        let (mut upgrade, _new) = Upgrade::start("list-old").await.start_successor_without_watch().await;
-        Upgrade::drain_first_host(&mut upgrade.old_watch, &upgrade.hosts).await;
+        let mut upgrade = Upgrade::start("list-old").await;
+        let _new = upgrade.start_successor_without_watch().await;
+        Upgrade::drain_first_host(&mut upgrade.old.watch, &upgrade.hosts).await;
         upgrade.stop_old().await;
         upgrade.assert_first_host_unused().await;
     });
@@ -369,15 +338,18 @@
 #[test]
 fn drain_during_the_shutdown_of_the_predecessor_is_kept_by_the_successor() {
     run(async {
-        let upgrade = Upgrade::start("list-stop").await;
+        let mut upgrade = Upgrade::start("list-stop").await;
         // A connection without a request keeps the predecessor from ending.
-        let _silent = LineConnection::connect(listen_address(&upgrade.value)).await;
+        let _silent = LineConnection::connect(listen_address(&upgrade.old.value)).await;
         sleep(Duration::from_millis(50)).await;
-        let (mut upgrade, _new) = upgrade.start_successor_without_watch().await;
-        upgrade.old.signal("-TERM").await;
+        let _new = upgrade.start_successor_without_watch().await;
+        upgrade.old.process.signal("-TERM").await;
         sleep(Duration::from_millis(100)).await;
-        Upgrade::drain_first_host(&mut upgrade.old_watch, &upgrade.hosts).await;
-        assert!(upgrade.old.child.try_wait().expect("a status").is_none(), "the predecessor has ended");
+        Upgrade::drain_first_host(&mut upgrade.old.watch, &upgrade.hosts).await;
+        assert!(
+            upgrade.old.process.child.try_wait().expect("a status").is_none(),
+            "the predecessor has ended"
+        );
         upgrade.stop_old().await;
         upgrade.assert_first_host_unused().await;
     });
@@ -388,8 +360,8 @@
 fn drain_that_the_successor_heard_of_is_kept_by_the_predecessor() {
     run(async {
         let upgrade = Upgrade::start("list-new").await;
-        let mut new = Process::start(&upgrade.value, &upgrade.dir).await;
-        let mut new_watch = upgrade.discovery.accept_watch(&["\n"]).await;
+        let mut new = Process::start(&upgrade.old.value, &upgrade.old.dir).await;
+        let mut new_watch = upgrade.old.discovery.accept_watch(&["\n"]).await;
         new.wait_until_ready().await;
         Upgrade::drain_first_host(&mut new_watch, &upgrade.hosts).await;
         new.child.kill().await.expect("killed");
@@ -402,7 +374,8 @@
 fn large_change_of_the_list_reaches_the_successor() {
     const HOSTS: usize = 20_000;
     run(async {
-        let (mut upgrade, new) = Upgrade::start("list-large").await.start_successor_without_watch().await;
+        let mut upgrade = Upgrade::start("list-large").await;
+        let new = upgrade.start_successor_without_watch().await;
         let far = |host| {
             let mut entry = upgrade.hosts[0].draining.clone();
             entry["host"] = format!("far-{host}").into();
@@ -410,7 +383,7 @@
         };
         let mut entries: Vec<Value> = (0..HOSTS).map(far).collect();
         entries.extend([upgrade.hosts[0].draining.clone(), upgrade.hosts[1].up.clone()]);
-        send_chunk(&mut upgrade.old_watch, &list_line(2, true, &entries)).await;
+        send_chunk(&mut upgrade.old.watch, &list_line(2, true, &entries)).await;
         while new.metric("hosts_listed").await < HOSTS as u64 {
             sleep(Duration::from_millis(20)).await;
         }
--- a/crates/alderstile-node/tests/upgrade_reload.rs
+++ b/crates/alderstile-node/tests/upgrade_reload.rs
@@ -1,14 +1,13 @@
 //! Reloads during an upgrade: what one process of the node has taken, the other takes, too.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use alderstile::types::Micros;
 use alderstile_node::clock::MachineTime;
 use alderstile_node::config::{ClusterConfig, Config};
-use alderstile_node::discovery::endpoint_list::server_id;
 use alderstile_node::lifecycle::state_sync::StateSync;
 use alderstile_node::lifecycle::state_update::{ConfigUpdate, StateUpdate};
 use alderstile_node::node::Node;
@@ -28,45 +27,31 @@
     discovery.0.local_addr().expect("bound")
 }
 
-/// Answers a call for the complete list.
-async fn answer_with_list(call: &mut LineConnection, hosts: &[Value]) {
-    let list = list_line(7, true, hosts);
-    call.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
-}
-
-/// A predecessor that is ready, with the stub of its discovery.
+/// A predecessor that is ready, with its host.
 struct Upgrade {
-    dir: PathBuf,
-    value: Value,
-    discovery: StubDiscovery,
     host: StubHost,
-    old: Process,
-    _old_watch: LineConnection,
+    old: WatchedProcess,
 }
 
 impl Upgrade {
     async fn start(name: &str) -> Self {
-        let (dir, discovery) = (temp_dir(name), StubDiscovery::new().await);
-        let value = upgradable_config(&discovery).await;
         let host = StubHost::new("s-1").await;
-        let watch = async { discovery.accept_watch(&[&list_line(1, true, &[host.list_entry("up")])]).await };
-        let old = Process::start(&value, &dir).await;
-        let _old_watch = watch.await;
-        old.wait_until_ready().await;
-        Upgrade { dir, value, discovery, host, old, _old_watch }
+        let old = WatchedProcess::start(name, &[host.list_entry("up")]).await;
+        Upgrade { host, old }
     }
 
     /// Starts the successor, which is ready after its watch was answered.
     async fn start_ready_successor(&self) -> (Process, LineConnection) {
-        let new = Process::start(&self.value, &self.dir).await;
-        let watch = self.discovery.accept_watch(&[&list_line(1, true, &[self.host.list_entry("up")])]).await;
+        let new = Process::start(&self.old.value, &self.old.dir).await;
+        let watch =
+            self.old.discovery.accept_watch(&[&list_line(1, true, &[self.host.list_entry("up")])]).await;
         new.wait_until_ready().await;
         (new, watch)
     }
 
     /// Replaces the configuration file and tells a process to reload it.
     async fn reload(&self, process: &Process, value: &Value) {
-        std::fs::write(self.dir.join("config.json"), value.to_string()).expect("written");
+        std::fs::write(self.old.dir.join("config.json"), value.to_string()).expect("written");
         process.signal("-HUP").await;
     }
 }
@@ -89,20 +74,23 @@
 fn reload_of_the_predecessor_reaches_a_successor_that_is_not_ready() {
     run(async {
         let upgrade = Upgrade::start("reload-before").await;
-        let new = Process::start(&upgrade.value, &upgrade.dir).await;
-        let _unanswered = upgrade.discovery.accept_call().await;
+        let new = Process::start(&upgrade.old.value, &upgrade.old.dir).await;
+        let _unanswered = upgrade.old.discovery.accept_call().await;
         let moved = StubDiscovery::new().await;
-        let mut value = upgrade.value.clone();
+        let mut value = upgrade.old.value.clone();
         value["discovery"] = json!(address(&moved).to_string());
         value["settings"]["classes"][1]["name"] = json!("late");
-        upgrade.reload(&upgrade.old, &value).await;
+        upgrade.reload(&upgrade.old.process, &value).await;
         for mut call in accept_call_of_each_process(&moved).await {
-            answer_with_list(&mut call, &[upgrade.host.list_entry("up")]).await;
+            send_complete_list(&mut call, &list_line(7, true, &[upgrade.host.list_entry("up")])).await;
         }
         new.wait_until_ready().await;
         // The new class is known to the successor, and the reload is counted where it was taken.
         assert_eq!(new.metric("success.late").await, 0);
-        assert_eq!((upgrade.old.metric("reconfig_ok").await, new.metric("reconfig_ok").await), (1, 0));
+        assert_eq!(
+            (upgrade.old.process.metric("reconfig_ok").await, new.metric("reconfig_ok").await),
+            (1, 0)
+        );
     });
 }
 
@@ -112,8 +100,8 @@
     run(async {
         let upgrade = Upgrade::start("reload-after").await;
         let (new, _new_watch) = upgrade.start_ready_successor().await;
-        let mut value = upgrade.value.clone();
-        for process in [&new, &upgrade.old] {
+        let mut value = upgrade.old.value.clone();
+        for process in [&new, &upgrade.old.process] {
             let moved = StubDiscovery::new().await;
             value["discovery"] = json!(address(&moved).to_string());
             upgrade.reload(process, &value).await;
@@ -191,11 +179,11 @@
         let mut upgrade = Upgrade::start("reload-stop").await;
         let (_new, _new_watch) = upgrade.start_ready_successor().await;
         let moved = StubDiscovery::new().await;
-        let mut value = upgrade.value.clone();
+        let mut value = upgrade.old.value.clone();
         value["discovery"] = json!(address(&moved).to_string());
-        upgrade.reload(&upgrade.old, &value).await;
-        upgrade.old.signal("-TERM").await;
-        let ended = timeout(Duration::from_secs(5), upgrade.old.child.wait()).await;
+        upgrade.reload(&upgrade.old.process, &value).await;
+        upgrade.old.process.signal("-TERM").await;
+        let ended = timeout(Duration::from_secs(5), upgrade.old.process.child.wait()).await;
         assert!(ended.expect("in time").expect("ended").success());
         // Calls that the ended process made may be queued: its connections are closed.
         sleep(Duration::from_millis(100)).await;
@@ -275,8 +263,9 @@
 /// Joins the process in a directory as a successor of a minor version. Returns the channel, from which the
 /// first message was read.
 async fn join(dir: &Path, minor_version: u32) -> BufReader<UnixStream> {
-    let path = dir.join(format!("alderstile-{:016x}.sock", server_id("n1").0));
-    let mut stream = BufReader::new(UnixStream::connect(path).await.expect("the socket of the predecessor"));
+    let mut stream = BufReader::new(
+        UnixStream::connect(upgrade_socket(dir)).await.expect("the socket of the predecessor"),
+    );
     let join = json!({"join": {"version": 1, "minor_version": minor_version}});
     stream.get_mut().write_all(format!("{join}\n").as_bytes()).await.expect("sent");
     let mut state = String::new();
@@ -303,8 +292,8 @@
     run(async {
         let upgrade = Upgrade::start("reload-older").await;
         for (minor_version, expected) in [(0, false), (1, false), (2, true)] {
-            let mut successor = join(&upgrade.dir, minor_version).await;
-            upgrade.reload(&upgrade.old, &upgrade.value).await;
+            let mut successor = join(&upgrade.old.dir, minor_version).await;
+            upgrade.reload(&upgrade.old.process, &upgrade.old.value).await;
             assert_eq!(receives(&mut successor, "\"update\"").await, expected, "version {minor_version}");
             drop(successor);
             sleep(Duration::from_millis(50)).await;
